--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,612 @@
+package choice
+
+// One Choice decides for one app server. The program calls New with the terms it was started under and
+// a seed, then Decide once a round with all that came in; decisions go into the Writer in their order.
+// Round, Task, TrafficType and Writer, the whole interface, are in task.go; ring.go measures over time.
+//
+// The ordinary path is the in-flight limit of docs/design.md: calibrate moves it, mayStart obeys it, the
+// hold keeps the rest by due time. The other functions are the exceptions and guards that page lists.
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	sweep       = 25 * time.Millisecond // between alarms; the margins below are counted in it
+	period      = time.Second           // between calibrations of the limit
+	backoff     = 0.75                  // what a backoff event leaves of the limit
+	softMemory  = 0.75
+	softCPU     = 0.90
+	idleCPU     = 0.70 // held tasks start beyond the limit below this
+	degraded    = 1.5  // short average of latency over the long one
+	mostPerCore = 6.0  // ceiling of the limit, in tasks a core
+	crowdShare  = 0.8  // part of the survived crowd that may be in flight
+	hardMemory  = 0.9  // part of the memory that is ever planned for
+	callShare   = 0.7  // part of the server's share of the dependency that it uses
+	guess       = 6    // a type never seen is taken to need this part of its contract time
+	doubt       = 2.0  // runs' worth of trust that the long average gets beside the recent one
+	easy        = 0.05 // part of the work that may be dismissed before the level rises
+	levelPace   = 0.05 // how fast the level follows, a tenth of a second
+	levelMost   = 0.95
+)
+
+// Choice is the decisions of one server and all it remembers.
+type Choice struct {
+	Types []*TrafficType
+
+	terms map[string]any
+	rng   *rand.Rand
+	now   time.Duration
+	began time.Duration
+
+	cores, memory, factor, numberKB float64
+
+	hold    []*Task // by due time
+	active  []*Task // all others that hold something: running, at a call, paused, echoing, answered but on
+	numbers []*Task // entries of the table of numbers
+	linger  []time.Duration
+
+	limit      float64
+	event      bool // a backoff event since the last calibration
+	calibrated time.Duration
+	gauges     Gauges
+	swept      time.Duration
+	ticks      int
+	stopAt     time.Duration
+	noticed    time.Duration
+
+	level  float64
+	said   float64
+	load   *ring // work read, work dismissed for want of room
+	paced  *ring // core time spent and hinted work done
+	called *ring // calls ended and their time
+	inHand *ring // calls in hand times seconds, seconds
+	pace   trend
+}
+
+// pick reads one of the terms, or what holds where it was not stated.
+func pick[T any](terms map[string]any, name string, otherwise T) T {
+	if v, stated := terms[name].(T); stated {
+		return v
+	}
+	return otherwise
+}
+
+// New starts the decisions of a server that knows its terms and nothing else.
+func New(terms map[string]any, seed int64) *Choice {
+	c := &Choice{
+		terms:    terms,
+		rng:      rand.New(rand.NewSource(seed)),
+		cores:    pick(terms, "cores", 1.0),
+		memory:   pick(terms, "memory-kb", math.Inf(1)) * hardMemory,
+		factor:   pick(terms, "running-factor", 1.0),
+		numberKB: pick(terms, "number-kb", 0.0),
+		load:     newRing(time.Second, 10),
+		paced:    newRing(6*time.Second, 12),
+		called:   newRing(2*time.Second, 8),
+		inHand:   newRing(pick(terms, "calls-over", 5*time.Second), 20),
+	}
+	c.limit = c.cores
+	for i := range int(pick(terms, "types", 0.0)) {
+		of := "type." + strconv.Itoa(i) + "."
+		t := &TrafficType{
+			Importance:   pick(terms, of+"importance", 1.0),
+			LateShare:    pick(terms, of+"late-share", 0.0),
+			ContractTime: pick(terms, of+"contract-time", time.Second),
+			OuterLimit:   pick(terms, of+"outer-limit", time.Second),
+			Window:       pick(terms, of+"window", time.Duration(0)),
+			Calls:        pick(terms, of+"calls", false),
+			SkipShare:    pick(terms, of+"skip-share", 0.0),
+			runs:         newRing(6*time.Second, 12),
+		}
+		switch pick(terms, of+"repeats", "reissuable") {
+		case "numbered":
+			t.Repeats = Numbered
+		case "at-most-once":
+			t.Repeats = AtMostOnce
+		}
+		c.Types = append(c.Types, t)
+	}
+	return c
+}
+
+// Decide takes all that came in and writes what is to be done. A call's outcome is taken before a new call
+// of the same task, and both before its end, so that a round may hold a task's whole story.
+func (c *Choice) Decide(r *Round, w Writer) {
+	c.now = r.Now
+	if c.swept == 0 {
+		c.began, c.swept, c.calibrated = r.Now, r.Now, r.Now
+		w.Health(true, true)
+		w.Wake(sweep)
+	}
+	if r.StopAt > 0 && c.stopAt == 0 {
+		c.leave(r.StopAt, w)
+	}
+	for _, e := range r.Returned {
+		c.returned(e, w)
+	}
+	for _, t := range r.AtCall {
+		if t.phase == running || t.phase == paused {
+			c.enter(t, wantsCall)
+		}
+	}
+	for _, e := range r.Ended {
+		c.ended(e)
+	}
+	for _, t := range r.Gone {
+		c.gone(t, w)
+	}
+	for _, t := range r.Arrived {
+		c.arrived(t, w)
+	}
+	if r.Gauges != nil {
+		c.gauges = *r.Gauges
+		c.measure(w)
+		w.Wake(sweep)
+	}
+	c.expire(w)
+	c.weed(w)
+	c.placeCalls(w)
+	for len(c.hold) > 0 && c.mayStart(c.hold[0]) {
+		t := c.hold[0]
+		c.hold = slices.Delete(c.hold, 0, 1)
+		t.ran = true
+		c.active = append(c.active, t)
+		c.enter(t, running)
+		w.Start(t)
+	}
+}
+
+// enter books the time of the phase that ends and begins the next.
+func (c *Choice) enter(t *Task, next phase) {
+	spent := c.now - t.since
+	t.since = c.now
+	switch t.phase {
+	case running, over:
+		t.onCore += spent
+		t.Type.runs.add(c.now, spent.Seconds())
+		if t.Hint > 0 {
+			c.paced.add(c.now, spent.Seconds())
+		}
+	case wantsCall, calling:
+		t.atCalls += spent
+	}
+	t.phase = next
+}
+
+// remove takes a task that holds nothing more off the books.
+func (c *Choice) remove(t *Task) {
+	if i := slices.Index(c.active, t); i >= 0 {
+		c.active = slices.Delete(c.active, i, i+1)
+	} else if i := slices.Index(c.hold, t); i >= 0 {
+		c.hold = slices.Delete(c.hold, i, i+1)
+	}
+}
+
+func (c *Choice) arrived(t *Task, w Writer) {
+	t.since = c.now
+	t.last = t.Arrived + t.Type.OuterLimit
+	if t.Due > 0 {
+		t.last = t.Due
+	}
+	t.last -= 2 * sweep
+	t.wanted = t.last
+	if t.Type.LateShare == 0 {
+		t.wanted = min(t.last, t.Arrived+t.Type.ContractTime)
+	}
+	c.load.add(c.now, c.need(t).Seconds())
+	if t.Again {
+		c.enter(t, echoing)
+		c.active = append(c.active, t)
+		w.AnswerFromFirst(t)
+		return
+	}
+	if c.stopAt > 0 {
+		t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
+		if t.Arrived > c.noticed+pick(c.terms, "grace", time.Duration(0)) {
+			c.dismiss(t, w)
+			return
+		}
+	}
+	if t.Type.Repeats == Numbered {
+		// The entry comes before any run, so a repeat can never be taken for a new task; a task whose
+		// entry finds no room is not taken at all.
+		if c.used()+c.numberKB+t.HeldKB > c.memory {
+			c.dismiss(t, w)
+			return
+		}
+		t.kept = t.Arrived + t.Type.Window + sweep
+		c.numbers = append(c.numbers, t)
+		w.Remember(t, t.kept-c.now)
+	}
+	i, _ := slices.BinarySearchFunc(c.hold, t, func(a, b *Task) int {
+		if a.last <= b.last {
+			return -1
+		}
+		return 1
+	})
+	c.hold = slices.Insert(c.hold, i, t)
+}
+
+func (c *Choice) returned(e Ending, w Writer) {
+	t := e.Task
+	if t.phase != calling {
+		return
+	}
+	c.called.add(c.now, 1, e.Took.Seconds())
+	switch {
+	case e.Outcome == Done:
+		c.enter(t, running)
+		return
+	case e.Outcome == Unclear:
+		c.linger = append(c.linger, c.now+pick(c.terms, "calls-linger", time.Duration(0)))
+	}
+	c.enter(t, wantsCall)
+	if t.settled || e.Outcome == NotRun {
+		return
+	}
+	if t.Type.SkipShare > 0 {
+		c.enter(t, running)
+		w.SkipCall(t)
+	} else if t.Type.Repeats != Reissuable {
+		c.giveUp(t, w)
+	}
+}
+
+func (c *Choice) ended(e Ending) {
+	t := e.Task
+	if t.phase == echoing {
+		c.remove(t)
+		return
+	}
+	if e.Outcome == Stopped && t.phase == paused && !t.settled {
+		return // the pause took hold
+	}
+	c.enter(t, t.phase)
+	if e.Outcome == Done || e.Outcome == Broken {
+		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
+		t.Type.usual.take(t.onCore.Seconds(), 200)
+		t.Type.latency.take(e.Took.Seconds(), 200)
+		if t.Hint > 0 {
+			c.paced.add(c.now, 0, t.Hint.Seconds())
+			c.pace.take(t.onCore.Seconds()/t.Hint.Seconds(), 200)
+		}
+	}
+	t.settled = true
+	c.remove(t)
+}
+
+// gone frees what was kept for a task that nobody waits for. A numbered one that runs goes on: its client
+// may come again with the number, and is then answered from this run.
+func (c *Choice) gone(t *Task, w Writer) {
+	switch {
+	case t.phase == held && !t.ran || t.phase == echoing || t.phase == paused:
+		c.forget(t, w)
+		t.settled = true
+		c.remove(t)
+	case t.phase == running || t.phase == wantsCall || t.phase == calling:
+		t.settled = true
+		if t.phase == running && t.Type.Repeats == Reissuable {
+			c.enter(t, over)
+			w.Pause(t)
+		}
+	}
+}
+
+// forget gives the entry of a task that never ran back; one that ran stays known for its whole window.
+func (c *Choice) forget(t *Task, w Writer) {
+	if t.kept > 0 && !t.ran {
+		t.kept = 0
+		c.numbers = slices.DeleteFunc(c.numbers, func(n *Task) bool { return n == t })
+		w.Forget(t)
+	}
+}
+
+// dismiss turns away a task that never ran.
+func (c *Choice) dismiss(t *Task, w Writer) {
+	c.forget(t, w)
+	t.settled = true
+	c.remove(t)
+	// A further try elsewhere helps only while there is time for it.
+	hopeless := t.wanted < c.now+c.need(t)
+	w.Dismiss(t, 0, hopeless)
+}
+
+// giveUp answers a task that ran, or a repeat whose first may have, and then stops it, so that its core is
+// free at once for work that somebody waits for.
+func (c *Choice) giveUp(t *Task, w Writer) {
+	t.settled = true
+	w.GiveUp(t)
+	switch t.phase {
+	case running:
+		c.enter(t, over)
+		w.Pause(t)
+	case calling:
+		c.linger = append(c.linger, c.now+pick(c.terms, "calls-linger", time.Duration(0)))
+		c.remove(t)
+	default:
+		c.remove(t)
+	}
+}
+
+// expire answers whatever has come to its last moment or can earn nothing any more, in whatever phase.
+func (c *Choice) expire(w Writer) {
+	for _, t := range slices.Clone(c.hold) {
+		if c.now >= t.wanted {
+			c.dismiss(t, w)
+		}
+	}
+	for _, t := range slices.Clone(c.active) {
+		if !t.settled && c.now >= t.wanted {
+			c.giveUp(t, w)
+		}
+	}
+}
+
+// leave makes the server ready to go: checks fail, the level shuts, and nothing is planned past the stop.
+func (c *Choice) leave(stopAt time.Duration, w Writer) {
+	c.stopAt, c.noticed = stopAt-2*sweep, c.now
+	w.Health(false, true)
+	for _, list := range [][]*Task{c.hold, c.active} {
+		for _, t := range list {
+			t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
+		}
+	}
+	c.say(1, w)
+	w.Note(fmt.Sprintf("leaving: %d held, %d in flight", len(c.hold), c.inFlight()))
+}
+
+func (c *Choice) say(level float64, w Writer) {
+	if pick(c.terms, "advert", "none") == "threshold" && level != c.said {
+		c.said = level
+		w.Level(level)
+	}
+}
+
+// need is the core time a task is expected to take here. Time already spent on unfinished runs counts
+// against the runs that ended, so that a machine that has just slowed down is noticed before its first end.
+func (c *Choice) need(t *Task) time.Duration {
+	if t.Hint > 0 && c.pace.count > 0 {
+		seen := c.paced.sum(c.now)
+		trust := doubt * c.Types[0].usual.mean
+		return time.Duration((seen[0] + trust*c.pace.mean) / (seen[1] + trust) * float64(t.Hint))
+	}
+	usual := t.Type.usual.mean
+	if t.Type.usual.count == 0 {
+		usual = t.Type.ContractTime.Seconds() / guess
+	}
+	seen := t.Type.runs.sum(c.now)
+	return time.Duration((seen[0] + doubt*usual) / (seen[1] + doubt) * float64(time.Second))
+}
+
+// weed leaves out, of the held tasks, those that cannot be honoured in time, the least important for its
+// work first. It walks the hold in start order and lays one behind the other on the cores.
+func (c *Choice) weed(w Writer) {
+	ahead := time.Duration(0)
+	for _, t := range c.active {
+		if t.phase == running {
+			need := c.need(t)
+			ahead += max(need-t.onCore, need/2)
+		}
+	}
+	wide := max(c.cores, float64(c.onCores()))
+	var kept []*Task
+	var out []*Task
+	for _, t := range c.hold {
+		kept = append(kept, t)
+		ahead += c.need(t)
+		for len(kept) > 0 {
+			need := c.need(t)
+			finish := c.now + time.Duration(float64(ahead-need)/wide) + need
+			if finish <= t.wanted {
+				break
+			}
+			least := 0
+			for i := range kept {
+				if c.density(kept[i]) <= c.density(kept[least]) {
+					least = i
+				}
+			}
+			gone := kept[least]
+			kept = slices.Delete(kept, least, least+1)
+			out = append(out, gone)
+			ahead -= c.need(gone)
+			if gone == t {
+				break
+			}
+		}
+	}
+	for _, t := range out {
+		c.load.add(c.now, 0, c.need(t).Seconds())
+		c.dismiss(t, w)
+	}
+}
+
+// density is the importance that a second of work earns.
+func (c *Choice) density(t *Task) float64 {
+	if pick(c.terms, "importance-by", "request") == "work" {
+		return t.Type.Importance
+	}
+	return t.Type.Importance / c.need(t).Seconds()
+}
+
+func (c *Choice) inFlight() (n int) {
+	for _, t := range c.active {
+		if t.phase == running || t.phase == wantsCall || t.phase == calling || t.phase == over {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Choice) onCores() (n int) {
+	for _, t := range c.active {
+		if t.phase == running || t.phase == over {
+			n++
+		}
+	}
+	return n
+}
+
+// used is the memory spoken for, with the reads that may come before the next round.
+func (c *Choice) used() float64 {
+	kb := float64(len(c.numbers)) * c.numberKB
+	for _, t := range c.hold {
+		kb += t.HeldKB
+	}
+	for _, t := range c.active {
+		if t.phase == echoing {
+			kb += t.HeldKB
+		} else {
+			kb += t.HeldKB * c.factor
+		}
+	}
+	return kb
+}
+
+// crowdRoom is how many may be in flight without the cores ever being crowded past what the server
+// survives, even if all came back from their calls at once. A cold server is taken to be as cold as stated.
+func (c *Choice) crowdRoom() float64 {
+	speed := 1.0
+	if pick(c.terms, "cold", false) {
+		from := pick(c.terms, "cold-share", 0.0)
+		warm := float64(c.now-c.began) / float64(pick(c.terms, "warm-up", time.Second))
+		speed = min(1, from+(1-from)*warm)
+	}
+	return crowdShare * (1 + (pick(c.terms, "crowd", 2.0)-1)*speed) * c.cores
+}
+
+// mayStart is the gate of the design: under the limit, or beyond it while the cores have room to spare.
+func (c *Choice) mayStart(t *Task) bool {
+	in, on := float64(c.inFlight()), float64(c.onCores())
+	if in+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
+		return false
+	}
+	return in < math.Floor(c.limit) || on < c.cores && c.gauges.CPU < idleCPU && c.gauges.Memory < softMemory
+}
+
+// placeCalls lets calls go to the shared dependency within the server's share of what it survives; the
+// most urgent go first, and one that would come back too late goes on without where that earns anything.
+func (c *Choice) placeCalls(w Writer) {
+	var waiting []*Task
+	inHand := len(c.linger)
+	for _, t := range c.active {
+		switch t.phase {
+		case wantsCall:
+			waiting = append(waiting, t)
+		case calling:
+			inHand++
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *Task) int { return int(a.wanted - b.wanted) })
+	share := pick(c.terms, "calls-share", 0.0)
+	for _, t := range waiting {
+		if t.settled {
+			continue // ends here by itself
+		}
+		rest := max(c.need(t)-t.onCore, c.need(t)/4)
+		if t.Type.SkipShare > 0 && c.now+rest+c.callTime() > t.wanted {
+			c.enter(t, running)
+			w.SkipCall(t)
+			continue
+		}
+		if float64(inHand+1) > max(1, share*callShare) || c.meanInHand() > share {
+			continue
+		}
+		patience := t.last - c.now
+		if t.Type.SkipShare > 0 {
+			patience = t.wanted - c.now - rest
+		}
+		inHand++
+		c.enter(t, calling)
+		w.Call(t, max(patience, sweep))
+	}
+}
+
+func (c *Choice) callTime() time.Duration {
+	seen := c.called.sum(c.now)
+	if seen[0] == 0 {
+		return 0
+	}
+	return time.Duration(seen[1] / seen[0] * float64(time.Second))
+}
+
+func (c *Choice) meanInHand() float64 {
+	return c.inHand.sum(c.now)[0] / pick(c.terms, "calls-over", 5*time.Second).Seconds()
+}
+
+// measure runs at each alarm: it books time, notices backoff events and moves limit and level.
+func (c *Choice) measure(w Writer) {
+	passed := (c.now - c.swept).Seconds()
+	c.swept = c.now
+	c.ticks++
+	c.linger = slices.DeleteFunc(c.linger, func(end time.Duration) bool { return end <= c.now })
+	c.numbers = slices.DeleteFunc(c.numbers, func(t *Task) bool { return t.kept <= c.now })
+	inHand := float64(len(c.linger))
+	for _, t := range c.active {
+		if t.phase == calling {
+			inHand++
+		}
+		if t.phase == over {
+			w.Pause(t) // a stop has no effect while the cores stand still
+		}
+		c.enter(t, t.phase)
+	}
+	c.inHand.add(c.now, inHand*passed)
+	if c.gauges.CPU >= softCPU || c.gauges.Memory >= softMemory {
+		c.event = true
+	}
+	for _, t := range c.Types {
+		short := t.runs.recent(c.now, 4)
+		if short[1] >= 5 && short[2]/short[1] > degraded*t.latency.mean {
+			c.event = true
+		}
+	}
+	if c.now >= c.calibrated+period {
+		c.calibrate()
+	} else if c.gauges.CPU < idleCPU && len(c.hold) > 0 && c.ticks%4 == 0 {
+		c.limit = min(c.limit+1, c.ceiling())
+	}
+	if c.ticks%4 == 0 && c.stopAt == 0 {
+		seen := c.load.sum(c.now)
+		short := 0.0
+		if seen[0] > 0 {
+			short = min(1, seen[1]/seen[0])
+		}
+		c.level = min(max(c.level+levelPace*(short-easy), 0), levelMost)
+		c.say(math.Round(c.level*100)/100, w)
+	}
+}
+
+// calibrate is the design's pass over the limit.
+func (c *Choice) calibrate() {
+	c.calibrated = c.now
+	if c.event {
+		c.limit *= backoff
+	} else {
+		c.limit++
+	}
+	c.event = false
+	c.limit = max(min(c.limit, c.ceiling()), c.cores)
+}
+
+// ceiling is the lower of a multiple of the cores and what memory allows at the mean running size.
+func (c *Choice) ceiling() float64 {
+	runs, kb := 0.0, 0.0
+	for _, t := range c.active {
+		if t.phase != echoing {
+			runs++
+			kb += t.HeldKB * c.factor
+		}
+	}
+	most := mostPerCore * c.cores
+	if runs > 0 {
+		most = min(most, (c.memory-c.used()+kb)/(kb/runs))
+	}
+	return most
+}
--- /dev/null
+++ b/choice/task.go
@@ -0,0 +1,122 @@
+// Package choice decides, for one app server, what becomes of each task that reaches it.
+package choice
+
+import "time"
+
+// Repeats says whether a task may be run again.
+type Repeats int
+
+// The three kinds. A numbered task carries a mark by which a repeat is known.
+const (
+	Reissuable Repeats = iota
+	Numbered
+	AtMostOnce
+)
+
+// TrafficType is what a kind of task is owed and worth, as stated at the start, and what was seen of it.
+type TrafficType struct {
+	Importance   float64
+	LateShare    float64
+	ContractTime time.Duration
+	OuterLimit   time.Duration
+	Window       time.Duration
+	Repeats      Repeats
+	Calls        bool
+	SkipShare    float64
+
+	runs    *ring
+	usual   trend // core seconds of a run
+	latency trend // seconds from start to end
+}
+
+// Task is one try of a client's work, from its reading to the end of all that it left behind.
+type Task struct {
+	Type     *TrafficType
+	HeldKB   float64
+	Hint     time.Duration // expected work on a standard core; 0 where none was given
+	Arrived  time.Duration // when it reached the machine, before it was read
+	Due      time.Duration // when its caller stops waiting; 0 where that is not told
+	Rank     float64       // its place from 0 to under 1, by which routers heed the level
+	Customer int
+	Again    bool // a repeat of a numbered task known here
+
+	phase   phase
+	ran     bool
+	settled bool
+	kept    time.Duration // end of its entry in the table of numbers; 0 without one
+	last    time.Duration // the moment by which it is answered whatever happens
+	wanted  time.Duration // the moment after which its answer earns nothing
+	since   time.Duration // start of the present phase
+	onCore  time.Duration // time on the cores so far
+	atCalls time.Duration // time spent on calls so far
+}
+
+type phase int
+
+const (
+	held phase = iota
+	running
+	wantsCall
+	calling
+	paused
+	echoing
+	over
+)
+
+// Outcome is how a run or a call ended.
+type Outcome int
+
+// The outcomes. NotRun proves that nothing happened; Unclear leaves it open.
+const (
+	Done Outcome = iota
+	Broken
+	NotRun
+	Unclear
+	Stopped
+	Void
+)
+
+// Gauges are the server's own readings.
+type Gauges struct {
+	CPU    float64 // busy share of the cores over the half second before
+	Crowd  float64 // all that wants a core now
+	Memory float64 // share in use
+	Links  float64 // open connections
+}
+
+// Ending is the end of a run or of a call.
+type Ending struct {
+	Task    *Task
+	Outcome Outcome
+	Took    time.Duration
+}
+
+// Round is all that came in at one moment, grouped by what it means to the server.
+type Round struct {
+	Now      time.Duration
+	StopAt   time.Duration // set in the round of the notice to leave: when the process is stopped
+	Returned []Ending      // calls that ended
+	AtCall   []*Task       // running tasks that need a call to go on
+	Ended    []Ending      // runs that ended
+	Gone     []*Task       // tasks nobody waits for any longer
+	Arrived  []*Task       // tasks read
+	Gauges   *Gauges       // set when an alarm rang
+}
+
+// Writer takes the decisions of a round, in order.
+type Writer interface {
+	Start(t *Task)
+	Pause(t *Task)
+	Dismiss(t *Task, comeBack time.Duration, nowhereElse bool)
+	GiveUp(t *Task)
+	AnswerFromFirst(t *Task)
+	Remember(t *Task, span time.Duration)
+	Forget(t *Task)
+	Call(t *Task, patience time.Duration)
+	SkipCall(t *Task)
+	Health(good, fromStore bool)
+	Level(level float64)
+	CloseIdle(span time.Duration)
+	Wake(in time.Duration)
+	Note(words string)
+}
--- /dev/null
+++ b/cmd/adapter/instance.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"math"
+	"time"
+
+	"quartzpoint/choice"
+	"quartzpoint/internal/wire"
+)
+
+// entry is what the door remembers of a task.
+type entry struct {
+	task     *choice.Task
+	answered bool
+	active   bool // a run is on, so an end will still come
+}
+
+// instance is one app server: its module, the ids of its tasks, and the writer of its decisions.
+type instance struct {
+	who     uint16
+	module  *choice.Choice
+	gauges  []string
+	tasks   map[uint64]*entry
+	ids     map[*choice.Task]uint64
+	round   choice.Round
+	reading choice.Gauges
+	touched bool
+	reply   *wire.Reply
+}
+
+func newInstance(who uint16, seed uint64, info string, reply *wire.Reply) (*instance, error) {
+	terms, gauges, err := readTerms(info)
+	if err != nil {
+		return nil, err
+	}
+	return &instance{
+		who:    who,
+		module: choice.New(terms, int64(seed)),
+		gauges: gauges,
+		tasks:  map[uint64]*entry{},
+		ids:    map[*choice.Task]uint64{},
+		reply:  reply,
+	}, nil
+}
+
+// clear empties the round and keeps its memory.
+func (in *instance) clear() {
+	r := &in.round
+	clear(r.Returned)
+	clear(r.AtCall)
+	clear(r.Ended)
+	clear(r.Gone)
+	clear(r.Arrived)
+	*r = choice.Round{
+		Returned: r.Returned[:0], AtCall: r.AtCall[:0], Ended: r.Ended[:0],
+		Gone: r.Gone[:0], Arrived: r.Arrived[:0],
+	}
+	in.touched = false
+}
+
+// settle drops what no later event can concern.
+func (in *instance) settle(t *choice.Task) {
+	id, known := in.ids[t]
+	if !known {
+		return
+	}
+	if e := in.tasks[id]; e.answered && !e.active {
+		delete(in.tasks, id)
+		delete(in.ids, t)
+	}
+}
+
+func (in *instance) act(code uint8, t *choice.Task) wire.Action {
+	a := in.reply.Add(code, in.who)
+	a.U64(3, in.ids[t])
+	return a
+}
+
+func (in *instance) answered(t *choice.Task) {
+	if e := in.tasks[in.ids[t]]; e != nil {
+		e.answered = true
+		in.settle(t)
+	}
+}
+
+// micros rounds a span up to the wire's unit and keeps it within the field.
+func micros(d time.Duration) uint32 {
+	us := (d + time.Microsecond - 1) / time.Microsecond
+	return uint32(min(max(us, 0), math.MaxUint32))
+}
+
+// Start implements choice.Writer, as do the methods below it.
+func (in *instance) Start(t *choice.Task) {
+	in.tasks[in.ids[t]].active = true
+	in.act(wire.Launch, t)
+}
+
+func (in *instance) Pause(t *choice.Task) { in.act(wire.Preempt, t) }
+
+func (in *instance) Dismiss(t *choice.Task, comeBack time.Duration, nowhereElse bool) {
+	a := in.act(wire.Shed, t)
+	a.U32(11, micros(comeBack))
+	a.Bool(15, nowhereElse)
+	in.answered(t)
+}
+
+func (in *instance) GiveUp(t *choice.Task) {
+	in.act(wire.Fail, t)
+	in.answered(t)
+}
+
+func (in *instance) AnswerFromFirst(t *choice.Task) { in.act(wire.Echo, t) }
+
+func (in *instance) Remember(t *choice.Task, span time.Duration) {
+	in.act(wire.Keep, t).U32(11, micros(span))
+}
+
+func (in *instance) Forget(t *choice.Task) { in.act(wire.Unpin, t) }
+
+func (in *instance) Call(t *choice.Task, patience time.Duration) {
+	in.act(wire.Call, t).U32(11, micros(patience))
+}
+
+func (in *instance) SkipCall(t *choice.Task) { in.act(wire.GoOn, t) }
+
+func (in *instance) Health(good, fromStore bool) {
+	a := in.reply.Add(wire.Status, in.who)
+	a.Bool(3, good)
+	a.Bool(4, fromStore)
+}
+
+func (in *instance) Level(level float64) { in.reply.Add(wire.HintOut, in.who).F32(3, level) }
+
+func (in *instance) CloseIdle(span time.Duration) {
+	in.reply.Add(wire.CloseIdle, in.who).U32(3, micros(span))
+}
+
+func (in *instance) Wake(after time.Duration) {
+	in.reply.Add(wire.Remind, in.who).U32(3, micros(after))
+}
+
+func (in *instance) Note(words string) { in.reply.Text(wire.NoteDown, in.who, words) }
--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,231 @@
+// Command adapter hosts instances of the decision module and speaks the bench's wire on its standard
+// input and output. It turns events into calls of the module and its decisions into actions.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"quartzpoint/choice"
+	"quartzpoint/internal/wire"
+)
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
+
+// door is the process: the instances by number, and the frames in hand.
+type door struct {
+	instances map[uint16]*instance
+	order     []*instance // those that came up in this batch, in order of their first event
+	batch     wire.Batch
+	reply     wire.Reply
+	now       time.Duration
+}
+
+func serve(from io.Reader, to io.Writer) error {
+	in, out := bufio.NewReaderSize(from, 1<<16), bufio.NewWriterSize(to, 1<<16)
+	d := &door{instances: map[uint16]*instance{}}
+	for n := 0; ; n++ {
+		err := d.batch.Read(in)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("batch %d: %w", n, err)
+		}
+		d.now = time.Duration(d.batch.Clock) * time.Microsecond
+		for i := range d.batch.Records {
+			if err := d.take(d.batch.Record(i)); err != nil {
+				return fmt.Errorf("batch %d, record %d: %w", n, i, err)
+			}
+		}
+		for _, one := range d.order {
+			one.decide()
+		}
+		d.order = d.order[:0]
+		if err := d.reply.Flush(out); err != nil {
+			return fmt.Errorf("batch %d: %w", n, err)
+		}
+	}
+}
+
+// decide hands the round to the module. A panic there is reported to the peer, which ends the day.
+func (in *instance) decide() {
+	defer func() {
+		if trouble := recover(); trouble != nil {
+			in.reply.Text(wire.InternalError, in.who, fmt.Sprint(trouble))
+		}
+	}()
+	in.module.Decide(&in.round, in)
+	for _, e := range in.round.Ended {
+		in.settle(e.Task)
+	}
+	for _, t := range in.round.Gone {
+		in.settle(t)
+	}
+	in.clear()
+}
+
+func (d *door) touch(in *instance) {
+	if !in.touched {
+		in.touched = true
+		in.round.Now = d.now
+		d.order = append(d.order, in)
+	}
+}
+
+// leave takes an instance whose process died out of the batch.
+func (d *door) leave(who uint16) {
+	for i, in := range d.order {
+		if in.who == who {
+			d.order = append(d.order[:i], d.order[i+1:]...)
+			break
+		}
+	}
+	delete(d.instances, who)
+}
+
+// take files one event in its instance's round.
+func (d *door) take(r wire.Record) error {
+	code, who := r.U8(0), r.U16(1)
+	if code == wire.Configure {
+		return d.configure(who, r)
+	}
+	in := d.instances[who]
+	if in == nil {
+		return fmt.Errorf("event %d for instance %d, which was never configured", code, who)
+	}
+	if code == wire.Down {
+		d.leave(who)
+		return nil
+	}
+	d.touch(in)
+	round := &in.round
+	switch code {
+	case wire.Req:
+		return in.arrive(r, d.now)
+	case wire.Quiesce:
+		round.StopAt = time.Duration(r.U64(3)) * time.Microsecond
+		return nil
+	case wire.Alarm:
+		return in.gauge(r)
+	case wire.Finished, wire.AtCall, wire.CallResult, wire.ClientGone:
+	default:
+		return fmt.Errorf("unknown event code %d", code)
+	}
+	e := in.tasks[r.U64(3)]
+	if e == nil {
+		return nil // settled before this event was written
+	}
+	switch code {
+	case wire.AtCall:
+		round.AtCall = append(round.AtCall, e.task)
+	case wire.ClientGone:
+		e.answered = true
+		round.Gone = append(round.Gone, e.task)
+	case wire.CallResult:
+		ending, err := ended(e.task, r)
+		round.Returned = append(round.Returned, ending)
+		return err
+	case wire.Finished:
+		ending, err := ended(e.task, r)
+		round.Ended = append(round.Ended, ending)
+		e.active = false
+		e.answered = e.answered || ending.Outcome == choice.Done || ending.Outcome == choice.Broken
+		return err
+	}
+	return nil
+}
+
+func (d *door) configure(who uint16, r wire.Record) error {
+	info, err := d.batch.Tail(r.U32(11), r.U32(15))
+	if err != nil {
+		return err
+	}
+	if d.instances[who] != nil {
+		d.leave(who)
+	}
+	in, err := newInstance(who, r.U64(3), string(info), &d.reply)
+	if err != nil {
+		return err
+	}
+	d.instances[who] = in
+	d.touch(in)
+	return nil
+}
+
+func (in *instance) arrive(r wire.Record, now time.Duration) error {
+	id, service := r.U64(3), int(r.U8(57))
+	if in.tasks[id] != nil {
+		return fmt.Errorf("task id %d came twice", id)
+	}
+	if service >= len(in.module.Types) {
+		return fmt.Errorf("task of traffic type %d of %d", service, len(in.module.Types))
+	}
+	t := &choice.Task{
+		Type:     in.module.Types[service],
+		HeldKB:   r.F32(11),
+		Arrived:  now - time.Duration(r.U32(58))*time.Microsecond,
+		Due:      time.Duration(r.U64(25)) * time.Microsecond,
+		Rank:     r.F32(37),
+		Customer: int(r.U32(33)),
+		Again:    r.U64(41) != 0,
+	}
+	if r.U16(15)&1 != 0 {
+		t.Hint = time.Duration(r.U32(53)) * time.Microsecond
+	}
+	in.tasks[id] = &entry{task: t}
+	in.ids[t] = id
+	in.round.Arrived = append(in.round.Arrived, t)
+	return nil
+}
+
+func (in *instance) gauge(r wire.Record) error {
+	count := int(r.U8(7))
+	if count > (len(r)-8)/4 {
+		return fmt.Errorf("%d gauges don't fit a record", count)
+	}
+	for i, name := range in.gauges[:min(count, len(in.gauges))] {
+		value := r.F32(8 + 4*i)
+		switch name {
+		case "core_use":
+			in.reading.CPU = value
+		case "on_cores":
+			in.reading.Crowd = value
+		case "heap_share":
+			in.reading.Memory = value
+		case "links":
+			in.reading.Links = value
+		}
+	}
+	in.round.Gauges = &in.reading
+	return nil
+}
+
+// outcomes are the wire's codes in our words.
+var outcomes = map[uint16]choice.Outcome{
+	0:   choice.Done,
+	255: choice.Broken,
+	254: choice.NotRun,
+	253: choice.Unclear,
+	252: choice.NotRun,
+	251: choice.Unclear,
+	250: choice.Stopped,
+	249: choice.Void,
+}
+
+func ended(t *choice.Task, r wire.Record) (choice.Ending, error) {
+	outcome, known := outcomes[r.U16(11)]
+	if !known {
+		return choice.Ending{}, fmt.Errorf("unknown outcome %d", r.U16(11))
+	}
+	return choice.Ending{Task: t, Outcome: outcome, Took: time.Duration(r.U32(13)) * time.Microsecond}, nil
+}
