--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,8 @@
 	guess       = 6    // a type never seen is taken to need this part of its contract time
 	doubt       = 2.0  // runs' worth of trust that the long average gets beside the recent one
 	easy        = 0.05 // part of the work that may be dismissed before the level rises
-	levelPace   = 0.05 // how fast the level follows, a tenth of a second
+	levelRise   = 0.05 // what the level gains in a tenth of a second when all is dismissed
+	levelFall   = 0.02
 	levelMost   = 0.95
 )
 
@@ -578,7 +579,11 @@
 		if seen[0] > 0 {
 			short = min(1, seen[1]/seen[0])
 		}
-		c.level = min(max(c.level+levelPace*(short-easy), 0), levelMost)
+		move := levelRise * (short - easy)
+		if move < 0 || c.gauges.CPU < softCPU {
+			move = -levelFall
+		}
+		c.level = min(max(c.level+move, 0), levelMost)
 		c.say(math.Round(c.level*100)/100, w)
 	}
 }
