Back off from a dependency that turns calls away, and move the room for calls by AIMD

Should also guard against any slow or recovering dependency; it could harm where a single spurious refusal cuts the room.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,7 +27,8 @@
 	mostPerCore = 6.0  // ceiling of the limit, in tasks a core
 	crowdShare  = 0.8  // part of the survived crowd that may be in flight
 	hardMemory  = 0.9  // part of the memory that is ever planned for
-	callShare   = 0.7  // part of the server's share of the dependency that it uses
+	callShare   = 0.7  // part of the server's share of the dependency that it ever uses
+	callStart   = 0.4  // part of it that it starts with
 	guess       = 6    // a type never seen is taken to need this part of its contract time
 	doubt       = 2.0  // runs' worth of trust that the long average gets beside the recent one
 	easy        = 0.05 // part of the work that may be dismissed before the level rises
@@ -61,13 +62,16 @@
 	stopAt     time.Duration
 	noticed    time.Duration
 
-	level  float64
-	said   float64
-	load   *ring // work read, work dismissed for want of room
-	paced  *ring // core time spent and hinted work done
-	called *ring // calls ended and their time
-	inHand *ring // calls in hand times seconds, seconds
-	pace   trend
+	level     float64
+	said      float64
+	load      *ring // work read, work dismissed for want of room
+	paced     *ring // core time spent and hinted work done
+	called    *ring // calls that went well, their time, calls that did not
+	callRoom  float64
+	callUsual trend
+	callsHeld bool  // a call waited for room since the last look
+	inHand    *ring // calls in hand times seconds, seconds
+	pace      trend
 }
 
 // pick reads one of the terms, or what holds where it was not stated.
@@ -90,6 +94,7 @@
 		load:     newRing(time.Second, 10),
 		paced:    newRing(6*time.Second, 12),
 		called:   newRing(2*time.Second, 8),
+		callRoom: max(1, pick(terms, "calls-share", 0.0)*callStart),
 		inHand:   newRing(pick(terms, "calls-over", 5*time.Second), 20),
 	}
 	c.limit = c.cores
@@ -239,15 +244,22 @@
 	if t.phase != calling {
 		return
 	}
-	c.called.add(c.now, 1, e.Took.Seconds())
-	switch {
-	case e.Outcome == Done:
+	if e.Outcome == Done {
+		c.called.add(c.now, 1, e.Took.Seconds())
+		c.callUsual.take(e.Took.Seconds(), 500)
 		c.enter(t, running)
 		return
-	case e.Outcome == Unclear:
-		c.linger = append(c.linger, c.now+pick(c.terms, "calls-linger", time.Duration(0)))
 	}
+	c.called.add(c.now, 0, 0, 1)
 	c.enter(t, wantsCall)
+	// A call turned away costs the dependency work too. Asking again at once would keep a jam alive that
+	// all servers feed, so each asks later than the last time, and no two at the same moment.
+	t.refusals++
+	wait := max(c.callUsual.mean, sweep.Seconds()) * math.Exp2(float64(min(t.refusals, 6))) * (0.5 + c.rng.Float64())
+	t.notBefore = c.now + time.Duration(wait*float64(time.Second))
+	if e.Outcome == Unclear {
+		c.linger = append(c.linger, c.now+pick(c.terms, "calls-linger", time.Duration(0)))
+	}
 	if t.settled || e.Outcome == NotRun {
 		return
 	}
@@ -516,7 +528,11 @@
 			w.SkipCall(t)
 			continue
 		}
-		if float64(inHand+1) > max(1, share*callShare) || c.meanInHand() > share {
+		if c.now < t.notBefore {
+			continue
+		}
+		if float64(inHand+1) > c.callRoom || c.meanInHand() > share {
+			c.callsHeld = true
 			continue
 		}
 		patience := t.last - c.now
@@ -568,6 +584,9 @@
 			c.event = true
 		}
 	}
+	if c.ticks%10 == 0 {
+		c.calibrateCalls()
+	}
 	if c.now >= c.calibrated+period {
 		c.calibrate()
 	} else if c.gauges.CPU < idleCPU && len(c.hold) > 0 && c.ticks%4 == 0 {
@@ -600,6 +619,19 @@
 	c.limit = max(min(c.limit, c.ceiling()), c.cores)
 }
 
+// calibrateCalls moves the room for calls by the limit's own rule: up by one while calls wait for it and come
+// back as usual, down by the same factor when they are turned away or take much longer than they used to.
+func (c *Choice) calibrateCalls() {
+	seen := c.called.recent(c.now, 4)
+	switch {
+	case seen[2] > 0 || seen[0] >= 5 && seen[1]/seen[0] > degraded*c.callUsual.mean:
+		c.callRoom = max(1, c.callRoom*backoff)
+	case c.callsHeld:
+		c.callRoom = min(c.callRoom+1, max(1, pick(c.terms, "calls-share", 0.0)*callShare))
+	}
+	c.callsHeld = false
+}
+
 // ceiling is the lower of a multiple of the cores and what memory allows at the mean running size.
 func (c *Choice) ceiling() float64 {
 	runs, kb := 0.0, 0.0
--- a/choice/task.go
+++ b/choice/task.go
@@ -40,15 +40,17 @@
 	Customer int
 	Again    bool // a repeat of a numbered task known here
 
-	phase   phase
-	ran     bool
-	settled bool
-	kept    time.Duration // end of its entry in the table of numbers; 0 without one
-	last    time.Duration // the moment by which it is answered whatever happens
-	wanted  time.Duration // the moment after which its answer earns nothing
-	since   time.Duration // start of the present phase
-	onCore  time.Duration // time on the cores so far
-	atCalls time.Duration // time spent on calls so far
+	phase     phase
+	ran       bool
+	settled   bool
+	kept      time.Duration // end of its entry in the table of numbers; 0 without one
+	last      time.Duration // the moment by which it is answered whatever happens
+	wanted    time.Duration // the moment after which its answer earns nothing
+	since     time.Duration // start of the present phase
+	onCore    time.Duration // time on the cores so far
+	atCalls   time.Duration // time spent on calls so far
+	refusals  int           // calls of it that did not go well
+	notBefore time.Duration // when its call may be tried again
 }
 
 type phase int
