Plan held tasks to start within 0.6 of the time they could wait

Cause: the hold filled with all that could still finish within the contract time, so under overload drafts and sign-offs waited 1.2 to 1.6 s, callers gave up or came late. At 0.35 all three lose; at 0.75 the incidents gain less.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,7 @@
 	callShare   = 0.7  // part of the server's share of the dependency that it ever uses
 	callStart   = 0.4  // part of it that it starts with
 	guess       = 6    // a type never seen is taken to need this part of its contract time
+	plan        = 0.6  // part of the time a task could be held at most that it is planned to be held
 	doubt       = 2.0  // runs' worth of trust that the long average gets beside the recent one
 	easy        = 0.05 // part of the work that may be dismissed before the level rises
 	levelRise   = 0.05 // what the level gains in a tenth of a second when all is dismissed
@@ -415,8 +416,9 @@
 		ahead += c.need(t)
 		for len(kept) > 0 {
 			need := c.need(t)
-			finish := c.now + time.Duration(float64(ahead-need)/wide) + need
-			if finish <= t.wanted {
+			start := c.now + time.Duration(float64(ahead-need)/wide)
+			latest := t.wanted - need
+			if start <= latest && start <= t.Arrived+time.Duration(plan*float64(latest-t.Arrived)) {
 				break
 			}
 			least := 0
