--- a/choice/choice.go
+++ b/choice/choice.go
@@ -496,13 +496,16 @@
 	return crowdShare * (1 + (pick(c.terms, "crowd", 2.0)-1)*speed) * c.cores
 }
 
-// mayStart is the gate of the design: under the limit, or beyond it while the cores have room to spare.
+// mayStart is the gate of the design: under the limit, or beyond it while the cores have room to spare. The
+// departure: room is a core with no run on it now, not a gauge below 70%. That gauge looks half a second back,
+// so with runs away at calls a server full of held work kept a sixth of its cores idle. It acts only while
+// runs wait at calls or disk, and could harm where those all come back at once; crowdRoom bounds that.
 func (c *Choice) mayStart(t *Task) bool {
 	in, on := float64(c.inFlight()), float64(c.onCores())
 	if in+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
 		return false
 	}
-	return in < math.Floor(c.limit) || on < c.cores && c.gauges.CPU < idleCPU && c.gauges.Memory < softMemory
+	return in < math.Floor(c.limit) || on < c.cores && c.gauges.Memory < softMemory
 }
 
 // placeCalls lets calls go to the shared dependency within the server's share of what it survives; the
