--- a/choice/choice.go
+++ b/choice/choice.go
@@ -371,7 +371,6 @@
 			t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
 		}
 	}
-	c.say(1, w)
 	w.Note(fmt.Sprintf("leaving: %d held, %d in flight", len(c.hold), c.inFlight()))
 }
 
@@ -597,7 +596,11 @@
 	} else if c.gauges.CPU < idleCPU && len(c.hold) > 0 && c.ticks%4 == 0 {
 		c.limit = min(c.limit+1, c.ceiling())
 	}
-	if c.ticks%4 == 0 && c.stopAt == 0 {
+	if c.stopAt > 0 {
+		if c.now > c.noticed+pick(c.terms, "grace", time.Duration(0)) {
+			c.say(1, w)
+		}
+	} else if c.ticks%4 == 0 {
 		seen := c.load.sum(c.now)
 		short := 0.0
 		if seen[0] > 0 {
