Count only tasks at or over the level towards it

Cause: callers that ignore the level kept the dismissed share high, so the level climbed into the top band and heeding callers rejected the most important tasks.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -206,7 +206,9 @@
 	if t.Type.LateShare == 0 {
 		t.wanted = min(t.last, t.Arrived+t.Type.ContractTime)
 	}
-	c.load.add(c.now, c.need(t).Seconds())
+	if t.Rank >= c.level {
+		c.load.add(c.now, c.need(t).Seconds())
+	}
 	if t.Again {
 		c.enter(t, echoing)
 		c.active = append(c.active, t)
@@ -436,7 +438,9 @@
 		}
 	}
 	for _, t := range out {
-		c.load.add(c.now, 0, c.need(t).Seconds())
+		if t.Rank >= c.level {
+			c.load.add(c.now, 0, c.need(t).Seconds())
+		}
 		c.dismiss(t, w)
 	}
 }
