--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,25 +17,26 @@
 )
 
 const (
-	sweep       = 25 * time.Millisecond // between alarms; the margins below are counted in it
-	period      = time.Second           // between calibrations of the limit
-	backoff     = 0.75                  // what a backoff event leaves of the limit
-	softMemory  = 0.75
-	softCPU     = 0.90
-	idleCPU     = 0.70 // held tasks start beyond the limit below this
-	degraded    = 1.5  // short average of latency over the long one
-	mostPerCore = 6.0  // ceiling of the limit, in tasks a core
-	crowdShare  = 0.8  // part of the survived crowd that may be in flight
-	hardMemory  = 0.9  // part of the memory that is ever planned for
-	callShare   = 0.7  // part of the server's share of the dependency that it ever uses
-	callStart   = 0.4  // part of it that it starts with
-	guess       = 6    // a type never seen is taken to need this part of its contract time
-	plan        = 0.6  // part of the time a task could be held at most that it is planned to be held
-	doubt       = 2.0  // runs' worth of trust that the long average gets beside the recent one
-	easy        = 0.05 // part of the work that may be dismissed before the level rises
-	levelRise   = 0.05 // what the level gains in a tenth of a second when all is dismissed
-	levelFall   = 0.02
-	levelMost   = 0.95
+	sweep        = 25 * time.Millisecond // between alarms; the margins below are counted in it
+	period       = time.Second           // between calibrations of the limit
+	backoff      = 0.75                  // what a backoff event leaves of the limit
+	softMemory   = 0.75
+	softCPU      = 0.90
+	idleCPU      = 0.70 // held tasks start beyond the limit below this
+	degraded     = 1.5  // short average of latency over the long one
+	mostPerCore  = 6.0  // ceiling of the limit, in tasks a core
+	crowdShare   = 0.8  // part of the survived crowd that may be in flight
+	hardMemory   = 0.9  // part of the memory that is ever planned for
+	callShare    = 0.7  // part of the server's share of the dependency that it ever uses
+	callStart    = 0.4  // part of it that it starts with
+	guess        = 6    // a type never seen is taken to need this part of its contract time
+	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
+	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
+	easy         = 0.05 // part of the work that may be dismissed before the level rises
+	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
+	levelFall    = 0.02
+	unreadWeight = 3.0
+	levelMost    = 0.95
 )
 
 // Choice is the decisions of one server and all it remembers.
@@ -66,6 +67,7 @@
 	level     float64
 	said      float64
 	load      *ring // work read, work dismissed for want of room
+	unread    *ring // tasks read, and the part of their contract time they had lain unread
 	paced     *ring // core time spent and hinted work done
 	called    *ring // calls that went well, their time, calls that did not
 	callRoom  float64
@@ -93,6 +95,7 @@
 		factor:   pick(terms, "running-factor", 1.0),
 		numberKB: pick(terms, "number-kb", 0.0),
 		load:     newRing(time.Second, 10),
+		unread:   newRing(time.Second, 10),
 		paced:    newRing(6*time.Second, 12),
 		called:   newRing(2*time.Second, 8),
 		callRoom: max(1, pick(terms, "calls-share", 0.0)*callStart),
@@ -197,6 +200,7 @@
 
 func (c *Choice) arrived(t *Task, w Writer) {
 	t.since = c.now
+	c.unread.add(c.now, 1, float64(c.now-t.Arrived)/float64(t.Type.ContractTime))
 	t.last = t.Arrived + t.Type.OuterLimit
 	if t.Due > 0 {
 		t.last = t.Due
@@ -610,6 +614,9 @@
 		if seen[0] > 0 {
 			short = min(1, seen[1]/seen[0])
 		}
+		if lain := c.unread.sum(c.now); lain[0] > 0 {
+			short = max(short, min(1, unreadWeight*lain[1]/lain[0]))
+		}
 		move := levelRise * (short - easy)
 		if move < 0 || c.gauges.CPU < softCPU {
 			move = -levelFall
