Tell dismissed tasks under the level when to come back

Cause: dismissals wander at once to the next server, and each reading costs. Those under the level are told to come back after level times the longest wait that is heeded.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -334,7 +334,11 @@
 	c.remove(t)
 	// A further try elsewhere helps only while there is time for it.
 	hopeless := t.wanted < c.now+c.need(t)
-	w.Dismiss(t, 0, hopeless)
+	comeBack := time.Duration(0)
+	if t.Rank < c.level && pick(c.terms, "come-back", false) {
+		comeBack = time.Duration(c.level * float64(pick(c.terms, "come-back-most", time.Duration(0))))
+	}
+	w.Dismiss(t, comeBack, hopeless)
 }
 
 // giveUp answers a task that ran, or a repeat whose first may have, and then stops it, so that its core is
