Under strain leave the room for calls to tasks that can't go on without

Cause: with a slow store, a handful of calls in hand served renders that could have earned most of their importance without, while picks timed out and their repeats failed with them. It guards against any scarce dependency; it could harm where a short spell of slow calls makes renders poorer that had time to wait.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,7 @@
 // hold keeps the rest by due time. The other functions are the exceptions and guards that page lists.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -29,6 +30,7 @@
 	hardMemory   = 0.9  // part of the memory that is ever planned for
 	callShare    = 0.7  // part of the server's share of the dependency that it ever uses
 	callStart    = 0.4  // part of it that it starts with
+	strainShare  = 0.5  // part of the room for calls open to tasks that can do without, under strain
 	guess        = 6    // a type never seen is taken to need this part of its contract time
 	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
 	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
@@ -72,6 +74,7 @@
 	called    *ring // calls that went well, their time, calls that did not
 	callRoom  float64
 	callUsual trend
+	strained  bool  // calls take much longer than usual or come back undone
 	callsHeld bool  // a call waited for room since the last look
 	inHand    *ring // calls in hand times seconds, seconds
 	pace      trend
@@ -532,14 +535,21 @@
 			inHand++
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *Task) int { return int(a.wanted - b.wanted) })
+	slices.SortStableFunc(waiting, func(a, b *Task) int {
+		if byLoss := cmp.Compare(b.skipLoss(), a.skipLoss()); byLoss != 0 {
+			return byLoss
+		}
+		return cmp.Compare(a.wanted, b.wanted)
+	})
 	share := pick(c.terms, "calls-share", 0.0)
 	for _, t := range waiting {
 		if t.settled {
 			continue // ends here by itself
 		}
 		rest := max(c.need(t)-t.onCore, c.need(t)/4)
-		if t.Type.SkipShare > 0 && c.now+rest+c.callTime() > t.wanted {
+		// While the dependency is strained the room that is left belongs to those that can't do without it.
+		spare := !c.strained || float64(inHand+1) <= c.callRoom*strainShare
+		if t.Type.SkipShare > 0 && (!spare || c.now+rest+c.callTime() > t.wanted) {
 			c.enter(t, running)
 			w.SkipCall(t)
 			continue
@@ -561,6 +571,9 @@
 	}
 }
 
+// skipLoss is the importance that is lost when a task goes on without its call.
+func (t *Task) skipLoss() float64 { return t.Type.Importance * (1 - t.Type.SkipShare) }
+
 func (c *Choice) callTime() time.Duration {
 	seen := c.called.sum(c.now)
 	if seen[0] == 0 {
@@ -646,8 +659,9 @@
 // back as usual, down by the same factor when they are turned away or take much longer than they used to.
 func (c *Choice) calibrateCalls() {
 	seen := c.called.recent(c.now, 4)
+	c.strained = seen[2] > 0 || seen[0] >= 5 && seen[1]/seen[0] > degraded*c.callUsual.mean
 	switch {
-	case seen[2] > 0 || seen[0] >= 5 && seen[1]/seen[0] > degraded*c.callUsual.mean:
+	case c.strained:
 		c.callRoom = max(1, c.callRoom*backoff)
 	case c.callsHeld:
 		c.callRoom = min(c.callRoom+1, max(1, pick(c.terms, "calls-share", 0.0)*callShare))
