--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,274 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLimitFollowsTheDesign(t *testing.T) {
+	cases := []struct {
+		name   string
+		before float64
+		gauges Gauges
+		after  float64
+	}{
+		{"quiet period adds one", 8, Gauges{CPU: 0.8}, 9},
+		{"CPU at its soft limit cuts", 8, Gauges{CPU: 0.9}, 6},
+		{"memory at its soft limit cuts", 8, Gauges{CPU: 0.8, Memory: 0.75}, 6},
+		{"never under the cores", 5, Gauges{CPU: 0.95}, 4},
+		{"never over the ceiling", 24, Gauges{CPU: 0.8}, 24},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.limit = c.before
+			b.pass(period, c.gauges)
+			assert.Equal(t, c.after, b.limit)
+		})
+	}
+	t.Run("latency half over its usual cuts", func(t *testing.T) {
+		b := newBench(nil)
+		for range 50 {
+			b.run(b.task("usual", 0), 100*ms)
+		}
+		b.at += 3 * time.Second
+		b.calibrated, b.limit = b.at-period, 8
+		for range 5 {
+			b.run(b.task("slow", 0), 200*ms)
+		}
+		b.pass(sweep, Gauges{CPU: 0.8})
+		assert.Equal(t, 6.0, b.limit)
+	})
+	t.Run("climbs at once while cores idle and work is held", func(t *testing.T) {
+		b := newBench(nil)
+		b.limit = 8
+		for i := range 12 {
+			b.round(Round{Arrived: []*Task{b.task(fmt.Sprint(i), 0)}})
+		}
+		b.pass(100*ms, Gauges{CPU: 0.5})
+		assert.Equal(t, 9.0, b.limit)
+	})
+	t.Run("memory bounds the ceiling", func(t *testing.T) {
+		b := newBench(map[string]any{"memory-kb": 600.0})
+		b.round(Round{Arrived: []*Task{b.task("a", 0)}})
+		assert.InDelta(t, 5.4, b.ceiling(), 0.01)
+	})
+}
+
+func TestHeldTasksStartByDueTimeUnderTheLimit(t *testing.T) {
+	b := newBench(nil)
+	var first []*Task
+	for i := range 4 {
+		first = append(first, b.task(fmt.Sprint(i), 0))
+	}
+	assert.Equal(t, "start 0, start 1, start 2, start 3", b.round(Round{Arrived: first}))
+	late, soon := b.task("late", 0), b.task("soon", 0)
+	late.Due, soon.Due = b.at+4*time.Second, b.at+3*time.Second
+	assert.Empty(t, b.round(Round{Arrived: []*Task{late, soon}}), "the limit keeps them held")
+	assert.Equal(t, "start soon", b.round(Round{Ended: []Ending{{Task: first[0], Outcome: Done}}}))
+	// A core left by a run that waits at its call is room beyond the limit.
+	assert.Equal(t, "call 1, start late", b.round(Round{AtCall: []*Task{first[1]}}))
+}
+
+func TestEveryKindIsAnsweredAtItsLastMoment(t *testing.T) {
+	cases := []struct {
+		name string
+		kind int
+		into func(b *bench, x *Task)
+		want string
+	}{
+		{"held reissuable", 0, func(b *bench, x *Task) { b.limit, b.cores = 0, 0 }, "dismiss x"},
+		{"held numbered", 1, func(b *bench, x *Task) { b.limit, b.cores = 0, 0 }, "forget x, dismiss x"},
+		{"running reissuable", 0, nil, "give up x, pause x"},
+		{"running numbered", 1, nil, "give up x, pause x"},
+		{"running at-most-once", 2, nil, "give up x, pause x"},
+		{"at a call", 2, func(b *bench, x *Task) { b.round(Round{AtCall: []*Task{x}}) }, "give up x"},
+		{"waiting for its call", 2, func(b *bench, x *Task) {
+			b.callRoom = 0
+			b.round(Round{AtCall: []*Task{x}})
+		}, "give up x"},
+		{"repeat of a numbered", 1, nil, "give up x"},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			x := b.task("x", c.kind)
+			x.Again = i == len(cases)-1
+			if c.into != nil && i < 2 {
+				c.into(b, x)
+			}
+			b.round(Round{Arrived: []*Task{x}})
+			if c.into != nil && i >= 2 {
+				c.into(b, x)
+			}
+			x.wanted = b.at + 100*ms
+			assert.NotContains(t, b.pass(75*ms, Gauges{CPU: 1}), "x")
+			assert.Contains(t, b.pass(25*ms, Gauges{CPU: 1}), c.want)
+			x.phase = max(x.phase, held)
+			assert.NotContains(t, b.pass(time.Second, Gauges{CPU: 1}), "give up", "one answer only")
+		})
+	}
+	t.Run("a stall of the process", func(t *testing.T) {
+		b := newBench(nil)
+		x := b.task("x", 0)
+		b.round(Round{Arrived: []*Task{x}})
+		b.at += 10 * time.Second
+		assert.Equal(t, "give up x, pause x", b.round(Round{}), "any event answers what is overdue")
+	})
+}
+
+func TestNumberedTasksTakeEffectOnce(t *testing.T) {
+	b := newBench(nil)
+	x, again := b.task("x", 1), b.task("again", 1)
+	again.Again = true
+	assert.Equal(t, "remember x, start x", b.round(Round{Arrived: []*Task{x}}), "an entry comes before the run")
+	assert.Equal(t, "echo again", b.round(Round{Arrived: []*Task{again}}))
+	b.round(Round{AtCall: []*Task{x}})
+	said := b.round(Round{Returned: []Ending{{Task: x, Outcome: Unclear}}})
+	assert.Equal(t, "give up x", said, "a call that may have taken effect is not made again")
+
+	y := b.task("y", 1)
+	b.round(Round{Arrived: []*Task{y}})
+	b.round(Round{AtCall: []*Task{y}})
+	assert.Empty(t, b.round(Round{Returned: []Ending{{Task: y, Outcome: NotRun}}}), "not again at once")
+	assert.Contains(t, b.pass(time.Second, Gauges{CPU: 1}), "call y", "but later, as it never ran")
+}
+
+func TestMemoryIsReservedForEntries(t *testing.T) {
+	b := newBench(map[string]any{"memory-kb": 200.0})
+	assert.Equal(t, "remember a, start a", b.round(Round{Arrived: []*Task{b.task("a", 1)}}))
+	assert.Equal(t, "dismiss b", b.round(Round{Arrived: []*Task{b.task("b", 1)}}), "no run without an entry")
+	assert.Empty(t, b.round(Round{Arrived: []*Task{b.task("c", 0)}}), "no start past the memory")
+}
+
+func TestColdServersCrowdTheirCoresLess(t *testing.T) {
+	warm := newBench(nil)
+	cold := newBench(map[string]any{"cold": true})
+	assert.InDelta(t, 0.8*6*4, warm.crowdRoom(), 0.01)
+	assert.InDelta(t, 0.8*2*4, cold.crowdRoom(), 0.01)
+	cold.at += 5 * time.Second
+	cold.round(Round{})
+	assert.InDelta(t, 0.8*4*4, cold.crowdRoom(), 0.01)
+}
+
+func TestLeaving(t *testing.T) {
+	b := newBench(nil)
+	x := b.task("x", 2)
+	b.round(Round{Arrived: []*Task{x}})
+	assert.Contains(t, b.round(Round{StopAt: b.at + 3*time.Second}), "health false")
+	x.last, x.wanted = b.stopAt, b.stopAt
+	assert.Contains(t, b.round(Round{Arrived: []*Task{b.task("in", 0)}}), "start in")
+	b.at += 2*time.Second + ms
+	assert.Contains(t, b.round(Round{Arrived: []*Task{b.task("out", 0)}}), "dismiss out")
+	assert.Contains(t, b.pass(sweep, Gauges{}), "level 1.00")
+	assert.Contains(t, b.pass(time.Second-2*sweep, Gauges{}), "give up x, pause x", "answered before the stop")
+}
+
+func TestWhatCannotBeHonouredIsLeftOutByImportance(t *testing.T) {
+	b := newBench(nil)
+	for range 20 {
+		b.run(b.task("usual", 0), 500*ms)
+		b.run(b.task("usual", 2), 500*ms)
+	}
+	var crowd []*Task
+	for range 16 {
+		crowd = append(crowd, b.task("low", 0))
+	}
+	b.round(Round{Arrived: crowd})
+	assert.Equal(t, "dismiss low", b.round(Round{Arrived: []*Task{b.task("high", 2)}}))
+}
+
+func TestLevelFollowsDismissalsOfThoseOverIt(t *testing.T) {
+	b := newBench(nil)
+	overload := func(rank float64) {
+		for range 40 {
+			x := b.task("x", 0)
+			x.Rank = rank
+			b.load.add(b.at, 0)
+			if x.Rank >= b.level {
+				b.load.add(b.at, 1, 1)
+			}
+			b.pass(sweep, Gauges{CPU: 1})
+		}
+	}
+	overload(0.99)
+	raised := b.level
+	assert.Greater(t, raised, 0.2)
+	b.pass(3*time.Second, Gauges{CPU: 0.5})
+	assert.Zero(t, b.level, "it falls back by itself")
+}
+
+func TestTasksReadLateRaiseTheLevel(t *testing.T) {
+	b := newBench(nil)
+	for range 20 {
+		x := b.task("x", 0)
+		x.Arrived -= time.Second
+		b.round(Round{Arrived: []*Task{x}})
+		b.pass(sweep, Gauges{CPU: 1})
+	}
+	assert.Greater(t, b.level, 0.1)
+}
+
+func TestCallsUnderStrain(t *testing.T) {
+	b := newBench(nil)
+	b.strained, b.callRoom = true, 1
+	skips, cannot := b.task("skips", 0), b.task("cannot", 2)
+	b.round(Round{Arrived: []*Task{skips, cannot}})
+	assert.Equal(t, "call cannot, skip skips", b.round(Round{AtCall: []*Task{skips, cannot}}))
+	for _, c := range []struct {
+		outcome Outcome
+		room    float64
+	}{{Done, 8}, {NotRun, 6}, {Unclear, 6}} {
+		b := newBench(nil)
+		x := b.task("x", 0)
+		b.round(Round{Arrived: []*Task{x}})
+		b.round(Round{AtCall: []*Task{x}})
+		b.callRoom = 8
+		b.round(Round{Returned: []Ending{{Task: x, Outcome: c.outcome, Took: ms}}})
+		b.calibrateCalls()
+		assert.Equal(t, c.room, b.callRoom)
+	}
+}
+
+func TestGone(t *testing.T) {
+	b := newBench(nil)
+	x, n := b.task("x", 0), b.task("n", 1)
+	b.round(Round{Arrived: []*Task{x, n}})
+	assert.Equal(t, "pause x", b.round(Round{Gone: []*Task{x, n}}), "a numbered run goes on for its repeats")
+	both := Round{Ended: []Ending{{Task: x, Outcome: Stopped}}, AtCall: []*Task{n}}
+	assert.Empty(t, b.round(both), "no call for what has ended")
+	assert.Empty(t, b.pass(10*time.Second, Gauges{CPU: 1}), "and no answer")
+}
+
+func TestOneRoundMayHoldAWholeStory(t *testing.T) {
+	b := newBench(nil)
+	x := b.task("x", 2)
+	b.round(Round{Arrived: []*Task{x}})
+	b.round(Round{AtCall: []*Task{x}})
+	said := b.round(Round{
+		Returned: []Ending{{Task: x, Outcome: Done}},
+		AtCall:   []*Task{x},
+		Ended:    []Ending{{Task: x, Outcome: Done}},
+		Gone:     []*Task{x},
+		Arrived:  []*Task{b.task("y", 0)},
+	})
+	assert.Equal(t, "start y", said)
+}
+
+func TestSameEventsSameDecisions(t *testing.T) {
+	story := func() (all string) {
+		b := newBench(nil)
+		for i := range 400 {
+			x := b.task(fmt.Sprint(i), i%3)
+			all += b.round(Round{Arrived: []*Task{x}})
+			all += b.round(Round{AtCall: []*Task{x}})
+			all += b.round(Round{Returned: []Ending{{Task: x, Outcome: Outcome(i % 4)}}})
+			all += b.pass(sweep, Gauges{CPU: 1})
+		}
+		return all
+	}
+	assert.Equal(t, story(), story())
+}
--- /dev/null
+++ b/cmd/adapter/main_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/wire"
+)
+
+const info = `extra.cores=2
+extra.ram-kb=1000.0
+extra.gauges=core_use,on_cores,heap_share,links
+extra.calls-by-class=true
+extra.class-skip-worth=0.5
+obligations.overload-factor=4.0
+services.count=1
+services.0.goal-time=2000000
+services.0.deadline=5000000
+services.0.idempotency=dedup
+services.0.dedup-window=9000000
+tenants=
+unheard.of=1
+`
+
+type event struct {
+	code uint8
+	who  uint16
+	set  func(r []byte)
+}
+
+// batch lays out a frame whose tail is the settings.
+func batch(events ...event) []byte {
+	body := []byte{}
+	for _, e := range events {
+		r := make([]byte, 64)
+		r[0] = e.code
+		binary.LittleEndian.PutUint16(r[1:], e.who)
+		if e.code == wire.Configure {
+			binary.LittleEndian.PutUint32(r[15:], uint32(len(info)))
+		}
+		if e.set != nil {
+			e.set(r)
+		}
+		body = append(body, r...)
+	}
+	body = append(body, info...)
+	head := binary.LittleEndian.AppendUint64(nil, 1_000_000)
+	head = binary.LittleEndian.AppendUint32(head, uint32(4+len(body)))
+	head = binary.LittleEndian.AppendUint32(head, uint32(len(events)))
+	return append(head, body...)
+}
+
+// with sets the id and, where asked, one more number of eight bytes.
+func with(id uint64, more ...uint64) func([]byte) {
+	return func(r []byte) {
+		binary.LittleEndian.PutUint64(r[3:], id)
+		if len(more) == 2 {
+			binary.LittleEndian.PutUint64(r[more[0]:], more[1])
+		}
+	}
+}
+
+// codes plays frames through the adapter and lists the actions of each reply.
+func codes(t *testing.T, frames ...[]byte) (all [][]uint8, err error) {
+	var out bytes.Buffer
+	err = serve(bytes.NewReader(bytes.Join(frames, nil)), &out)
+	for b := out.Bytes(); len(b) > 0; {
+		require.GreaterOrEqual(t, len(b), 8)
+		size, count := binary.LittleEndian.Uint32(b), binary.LittleEndian.Uint32(b[4:])
+		var some []uint8
+		for i := range count {
+			some = append(some, b[8+16*i])
+		}
+		all, b = append(all, some), b[4+size:]
+	}
+	return all, err
+}
+
+func TestServe(t *testing.T) {
+	configure := event{wire.Configure, 7, nil}
+	all, err := codes(t,
+		batch(),
+		batch(configure),
+		batch(event{wire.Req, 7, with(1)}),
+		batch(event{wire.Req, 7, with(2, 41, 1)}, event{wire.AtCall, 7, with(1)}),
+		batch(event{wire.CallResult, 7, with(1)}, event{wire.Finished, 7, with(1)}, event{wire.ClientGone, 7, with(9)}),
+		batch(event{wire.Down, 7, nil}, configure),
+		batch(event{wire.Alarm, 7, func(r []byte) { r[7] = 4 }}),
+	)
+	require.NoError(t, err)
+	assert.Equal(t, [][]uint8{
+		nil, {wire.Status, wire.Remind}, {wire.Keep, wire.Launch}, {wire.Echo, wire.Call}, nil,
+		{wire.Status, wire.Remind}, {wire.Remind},
+	}, all)
+}
+
+func TestSettledTasksAreForgotten(t *testing.T) {
+	d := &door{instances: map[uint16]*instance{}}
+	in, err := newInstance(1, 1, info, &d.reply)
+	require.NoError(t, err)
+	for id := range uint64(50) {
+		r := make([]byte, 64)
+		with(id)(r)
+		require.NoError(t, in.arrive(r, time.Second))
+	}
+	in.round.Now = time.Second
+	in.decide()
+	in.round.Now = 10 * time.Second
+	in.decide()
+	for id, e := range in.tasks {
+		assert.True(t, e.active && e.answered, "task %d", id)
+	}
+	assert.Len(t, in.ids, len(in.tasks))
+	assert.Less(t, len(in.tasks), 10)
+}
+
+func TestBadInput(t *testing.T) {
+	configure := event{wire.Configure, 7, nil}
+	cases := []struct {
+		name   string
+		frames [][]byte
+		want   string
+	}{
+		{"short", [][]byte{batch()[:5]}, "batch 0: header: frame cut short"},
+		{"unknown code", [][]byte{batch(configure), batch(event{99, 7, nil})}, "batch 1, record 0: unknown event code 99"},
+		{"never configured", [][]byte{batch(event{wire.Alarm, 4, nil})}, "record 0: event 80 for instance 4"},
+		{"outside the tail", [][]byte{batch(event{wire.Configure, 7, func(r []byte) { r[14] = 1 }})}, "outside the tail"},
+		{"repeated id", [][]byte{batch(configure, event{wire.Req, 7, with(1)}, event{wire.Req, 7, with(1)})},
+			"record 2: task id 1 came twice"},
+		{"unknown type", [][]byte{batch(configure, event{wire.Req, 7, with(1, 56, 3<<8)})}, "traffic type 3 of 1"},
+		{"unknown outcome", [][]byte{batch(configure, event{wire.Req, 7, with(1)},
+			event{wire.Finished, 7, with(1, 11, 7)})}, "unknown outcome 7"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := codes(t, c.frames...)
+			assert.ErrorContains(t, err, c.want)
+			assert.False(t, strings.Contains(err.Error(), "\n"))
+		})
+	}
+}
+
+func TestTerms(t *testing.T) {
+	terms, gauges, err := readTerms(info)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"core_use", "on_cores", "heap_share", "links"}, gauges)
+	assert.Equal(t, 2.0, terms["cores"])
+	assert.Equal(t, 2*time.Second, terms["type.0.contract-time"])
+	assert.Equal(t, "numbered", terms["type.0.repeats"])
+	assert.Equal(t, true, terms["type.0.calls"])
+	assert.NotContains(t, terms, "unheard.of")
+	_, _, err = readTerms("extra.cores=many")
+	assert.ErrorContains(t, err, "extra.cores")
+}
