Let the level rise half as fast

Cause: callers hear the level up to a second late, so a fast level overshoots and tasks are rejected that had room.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
 	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
 	easy         = 0.05 // part of the work that may be dismissed before the level rises
-	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
+	levelRise    = 0.025 // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02
 	unreadWeight = 3.0
 	levelMost    = 0.95
