--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,18 +23,18 @@
 	backoff      = 0.75                  // what a backoff event leaves of the limit
 	softMemory   = 0.75
 	softCPU      = 0.90
-	idleCPU      = 0.70  // held tasks start beyond the limit below this
-	degraded     = 1.5   // short average of latency over the long one
-	mostPerCore  = 6.0   // ceiling of the limit, in tasks a core
-	crowdShare   = 0.8   // part of the survived crowd that may be in flight
-	hardMemory   = 0.9   // part of the memory that is ever planned for
-	callShare    = 0.7   // part of the server's share of the dependency that it ever uses
-	callStart    = 0.4   // part of it that it starts with
-	strainShare  = 0.5   // part of the room for calls open to tasks that can do without, under strain
-	guess        = 6     // a type never seen is taken to need this part of its contract time
-	plan         = 0.6   // part of the time a task could be held at most that it is planned to be held
-	doubt        = 2.0   // runs' worth of trust that the long average gets beside the recent one
-	easy         = 0.05  // part of the work that may be dismissed before the level rises
+	idleCPU      = 0.70 // held tasks start beyond the limit below this
+	degraded     = 1.5  // short average of latency over the long one
+	mostPerCore  = 6.0  // ceiling of the limit, in tasks a core
+	crowdShare   = 0.8  // part of the survived crowd that may be in flight
+	hardMemory   = 0.9  // part of the memory that is ever planned for
+	callShare    = 0.7  // part of the server's share of the dependency that it ever uses
+	callStart    = 0.4  // part of it that it starts with
+	strainShare  = 0.5  // part of the room for calls open to tasks that can do without, under strain
+	guess        = 6    // a type never seen is taken to need this part of its contract time
+	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
+	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
+	easy         = 0.05 // part of the work that may be dismissed before the level rises
 	levelRise    = 0.025 // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02
 	unreadWeight = 3.0
@@ -66,20 +66,18 @@
 	stopAt     time.Duration
 	noticed    time.Duration
 
-	worst      *TrafficType // the one served worst here of late
-	worstBonus float64      // what that multiplies its importance by
-	level      float64
-	said       float64
-	load       *ring // work read, work dismissed for want of room
-	unread     *ring // tasks read, and the part of their contract time they had lain unread
-	paced      *ring // core time spent and hinted work done
-	called     *ring // calls that went well, their time, calls that did not
-	callRoom   float64
-	callUsual  trend
-	strained   bool  // calls take much longer than usual or come back undone
-	callsHeld  bool  // a call waited for room since the last look
-	inHand     *ring // calls in hand times seconds, seconds
-	pace       trend
+	level     float64
+	said      float64
+	load      *ring // work read, work dismissed for want of room
+	unread    *ring // tasks read, and the part of their contract time they had lain unread
+	paced     *ring // core time spent and hinted work done
+	called    *ring // calls that went well, their time, calls that did not
+	callRoom  float64
+	callUsual trend
+	strained  bool  // calls take much longer than usual or come back undone
+	callsHeld bool  // a call waited for room since the last look
+	inHand    *ring // calls in hand times seconds, seconds
+	pace      trend
 }
 
 // pick reads one of the terms, or what holds where it was not stated.
@@ -118,7 +116,6 @@
 			Calls:        pick(terms, of+"calls", false),
 			SkipShare:    pick(terms, of+"skip-share", 0.0),
 			runs:         newRing(6*time.Second, 12),
-			service:      newRing(10*time.Second, 10),
 		}
 		switch pick(terms, of+"repeats", "reissuable") {
 		case "numbered":
@@ -219,9 +216,6 @@
 	if t.Rank >= c.level {
 		c.load.add(c.now, c.need(t).Seconds())
 	}
-	if t.Rank >= c.level {
-		t.Type.service.add(c.now, c.worth(t)/(1-t.Type.cut))
-	}
 	if t.Again {
 		c.enter(t, echoing)
 		c.active = append(c.active, t)
@@ -299,9 +293,6 @@
 	c.enter(t, t.phase)
 	if e.Outcome == Done || e.Outcome == Broken {
 		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
-		if e.Outcome == Done && !t.settled && c.now <= t.wanted {
-			t.Type.service.add(c.now, 0, c.worth(t))
-		}
 		t.Type.usual.take(t.onCore.Seconds(), 200)
 		t.Type.latency.take(e.Took.Seconds(), 200)
 		if t.Hint > 0 {
@@ -465,44 +456,12 @@
 	}
 }
 
-// density is what a second of work on a task adds to the service that the terms count: its importance, and,
-// for the type served worst here of late, that type's own weight, spread over what is asked of it.
+// density is the importance that a second of work earns.
 func (c *Choice) density(t *Task) float64 {
-	worth := t.Type.Importance
-	if t.Type == c.worst {
-		worth *= c.worstBonus
-	}
-	if pick(c.terms, "importance-by", "request") == "work" {
-		return worth
-	}
-	return worth / c.need(t).Seconds()
-}
-
-// rateTypes finds the type served worst here and what its being the worst adds to its importance. What
-// callers held back because of the level counts as asked.
-func (c *Choice) rateTypes() {
-	var all, least, its float64
-	c.worst = nil
-	for _, t := range c.Types {
-		seen := t.service.sum(c.now)
-		all += seen[0]
-		if share := seen[1] / seen[0]; seen[0] > 0 && (c.worst == nil || share < least) {
-			c.worst, least, its = t, share, seen[0]
-		}
-	}
-	rest := pick(c.terms, "weight-whole", 1.0) + pick(c.terms, "weight-window", 0.0)
-	c.worstBonus = 1
-	if its > 0 && rest > 0 {
-		c.worstBonus += pick(c.terms, "weight-type", 0.0) / rest * all / its
-	}
-}
-
-// worth is the importance of a task as the terms count it.
-func (c *Choice) worth(t *Task) float64 {
 	if pick(c.terms, "importance-by", "request") == "work" {
-		return t.Type.Importance * c.need(t).Seconds()
+		return t.Type.Importance
 	}
-	return t.Type.Importance
+	return t.Type.Importance / c.need(t).Seconds()
 }
 
 func (c *Choice) inFlight() (n int) {
@@ -657,9 +616,6 @@
 	if c.ticks%10 == 0 {
 		c.calibrateCalls()
 	}
-	if c.ticks%10 == 0 {
-		c.rateTypes()
-	}
 	if c.now >= c.calibrated+period {
 		c.calibrate()
 	} else if c.gauges.CPU < idleCPU && len(c.hold) > 0 && c.ticks%4 == 0 {
--- a/choice/task.go
+++ b/choice/task.go
@@ -24,8 +24,6 @@
 	Calls        bool
 	SkipShare    float64
 
-	service *ring   // importance asked for and honoured
-	cut     float64 // part of it that the level asks callers to keep away
 	runs    *ring
 	usual   trend // core seconds of a run
 	latency trend // seconds from start to end
