Let customers over their share give way first

Cause: what a customer asks past its share earns little, and the leaving-out did not know. It acts only while tasks are left out; it could harm where a router's mix here is unlike the fleet's.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,10 +31,11 @@
 	callShare    = 0.7  // part of the server's share of the dependency that it ever uses
 	callStart    = 0.4  // part of it that it starts with
 	strainShare  = 0.5  // part of the room for calls open to tasks that can do without, under strain
-	guess        = 6    // a type never seen is taken to need this part of its contract time
-	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
-	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
-	easy         = 0.05 // part of the work that may be dismissed before the level rises
+	customerSpan = 10 * time.Second
+	guess        = 6     // a type never seen is taken to need this part of its contract time
+	plan         = 0.6   // part of the time a task could be held at most that it is planned to be held
+	doubt        = 2.0   // runs' worth of trust that the long average gets beside the recent one
+	easy         = 0.05  // part of the work that may be dismissed before the level rises
 	levelRise    = 0.025 // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02
 	unreadWeight = 3.0
@@ -45,10 +46,11 @@
 type Choice struct {
 	Types []*TrafficType
 
-	terms map[string]any
-	rng   *rand.Rand
-	now   time.Duration
-	began time.Duration
+	terms     map[string]any
+	customers []customer
+	rng       *rand.Rand
+	now       time.Duration
+	began     time.Duration
 
 	cores, memory, factor, numberKB float64
 
@@ -80,6 +82,12 @@
 	pace      trend
 }
 
+// customer is one of those who share the fleet, and what it asked for here.
+type customer struct {
+	name  string
+	asked *ring
+}
+
 // pick reads one of the terms, or what holds where it was not stated.
 func pick[T any](terms map[string]any, name string, otherwise T) T {
 	if v, stated := terms[name].(T); stated {
@@ -125,6 +133,10 @@
 		}
 		c.Types = append(c.Types, t)
 	}
+	for i := range int(pick(terms, "customers", 0.0)) {
+		by := customer{name: "customer." + strconv.Itoa(i) + ".", asked: newRing(customerSpan, 10)}
+		c.customers = append(c.customers, by)
+	}
 	return c
 }
 
@@ -213,6 +225,9 @@
 	if t.Type.LateShare == 0 {
 		t.wanted = min(t.last, t.Arrived+t.Type.ContractTime)
 	}
+	if t.Customer < len(c.customers) {
+		c.customers[t.Customer].asked.add(c.now, 1)
+	}
 	if t.Rank >= c.level {
 		c.load.add(c.now, c.need(t).Seconds())
 	}
@@ -456,12 +471,22 @@
 	}
 }
 
-// density is the importance that a second of work earns.
+// density is the importance that a second of work earns. What a customer asks beyond its share is worth
+// little and carries no mark, so each of its tasks is taken for the mix that it is on the mean here.
 func (c *Choice) density(t *Task) float64 {
+	worth := t.Type.Importance
+	if t.Customer < len(c.customers) {
+		by := c.customers[t.Customer]
+		share := pick(c.terms, by.name+"rate", math.Inf(1)) / pick(c.terms, "servers", 1.0)
+		if asked := by.asked.sum(c.now)[0] / customerSpan.Seconds(); asked > share {
+			over := 1 - share/asked
+			worth *= 1 - over*(1-pick(c.terms, "over-share", 1.0))
+		}
+	}
 	if pick(c.terms, "importance-by", "request") == "work" {
-		return t.Type.Importance
+		return worth
 	}
-	return t.Type.Importance / c.need(t).Seconds()
+	return worth / c.need(t).Seconds()
 }
 
 func (c *Choice) inFlight() (n int) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -272,3 +272,15 @@
 	}
 	assert.Equal(t, story(), story())
 }
+
+func TestCustomersOverTheirShareGiveWayFirst(t *testing.T) {
+	b := newBench(map[string]any{
+		"customers": 2.0, "customer.0.rate": 10.0, "customer.1.rate": 10.0, "servers": 10.0, "over-share": 0.05,
+	})
+	within, over := b.task("within", 0), b.task("over", 0)
+	over.Customer = 1
+	b.customers[0].asked.add(b.at, 5)
+	b.customers[1].asked.add(b.at, 20)
+	assert.Equal(t, b.density(within), (&bench{Choice: newBench(nil).Choice}).density(within))
+	assert.InDelta(t, 0.525*b.density(within), b.density(over), 0.001)
+}
