--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,11 +32,11 @@
 	callStart    = 0.4  // part of it that it starts with
 	strainShare  = 0.5  // part of the room for calls open to tasks that can do without, under strain
 	customerSpan = 10 * time.Second
-	guess        = 6     // a type never seen is taken to need this part of its contract time
-	plan         = 0.6   // part of the time a task could be held at most that it is planned to be held
-	doubt        = 2.0   // runs' worth of trust that the long average gets beside the recent one
-	easy         = 0.05  // part of the work that may be dismissed before the level rises
-	levelRise    = 0.025 // what the level gains in a tenth of a second when all is dismissed
+	guess        = 6    // a type never seen is taken to need this part of its contract time
+	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
+	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
+	easy         = 0.05 // part of the work that may be dismissed before the level rises
+	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02
 	unreadWeight = 3.0
 	levelMost    = 0.95
@@ -659,7 +659,7 @@
 		if lain := c.unread.sum(c.now); lain[0] > 0 {
 			short = max(short, min(1, unreadWeight*lain[1]/lain[0]))
 		}
-		move := levelRise * (short - easy)
+		move := levelRise * (short*short - easy*easy)
 		if move < 0 || c.gauges.CPU < softCPU {
 			move = -levelFall
 		}
