Call the dependency strained only beyond the noise of the few calls seen

Cause: the mean of five calls is off by half at random, so calm servers saw strain several times a minute and left calls out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -684,7 +684,10 @@
 // back as usual, down by the same factor when they are turned away or take much longer than they used to.
 func (c *Choice) calibrateCalls() {
 	seen := c.called.recent(c.now, 4)
-	c.strained = seen[2] > 0 || seen[0] >= 5 && seen[1]/seen[0] > degraded*c.callUsual.mean
+	// The mean of a few calls varies by about the root of their number; without that margin calm servers saw
+	// strain several times a minute and left out calls that had all the time they needed.
+	slow := degraded * (1 + 1/math.Sqrt(max(seen[0], 1))) * c.callUsual.mean
+	c.strained = seen[2] > 0 || seen[0] >= 5 && seen[1]/seen[0] > slow
 	switch {
 	case c.strained:
 		c.callRoom = max(1, c.callRoom*backoff)
