--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,6 +72,8 @@
 	said      float64
 	load      *ring // work read, work dismissed for want of room
 	unread    *ring // tasks read, and the part of their contract time they had lain unread
+	ends      *ring // runs ended, and those that broke
+	erring    bool
 	paced     *ring // core time spent and hinted work done
 	called    *ring // calls that went well, their time, calls that did not
 	callRoom  float64
@@ -107,6 +109,7 @@
 		numberKB: pick(terms, "number-kb", 0.0),
 		load:     newRing(time.Second, 10),
 		unread:   newRing(time.Second, 10),
+		ends:     newRing(3*time.Second, 6),
 		paced:    newRing(6*time.Second, 12),
 		called:   newRing(2*time.Second, 8),
 		callRoom: max(1, pick(terms, "calls-share", 0.0)*callStart),
@@ -175,6 +178,7 @@
 		w.Wake(sweep)
 	}
 	c.expire(w)
+	c.shield(w)
 	c.weed(w)
 	c.placeCalls(w)
 	for len(c.hold) > 0 && c.mayStart(c.hold[0]) {
@@ -308,6 +312,7 @@
 	c.enter(t, t.phase)
 	if e.Outcome == Done || e.Outcome == Broken {
 		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
+		c.ends.add(c.now, 1, float64(e.Outcome-Done))
 		t.Type.usual.take(t.onCore.Seconds(), 200)
 		t.Type.latency.take(e.Took.Seconds(), 200)
 		if t.Hint > 0 {
@@ -390,6 +395,27 @@
 	}
 }
 
+// shield keeps tasks off a server whose runs end broken, whatever breaks them. Broken runs are quick, so
+// callers that pick the fastest or least busy flock to such a server, and a numbered or at-most-once task
+// broken here can't be run elsewhere. One task at a time is still run, to see the end of it. It could harm where
+// all servers break most runs, as the few that would go well are then dismissed too; hence only past a half.
+func (c *Choice) shield(w Writer) {
+	seen := c.ends.sum(c.now)
+	erring := seen[0] >= 6 && seen[1] > seen[0]/2
+	if erring != c.erring && c.stopAt == 0 {
+		w.Health(!erring, true)
+		w.Note(fmt.Sprintf("erring: %t, %.0f of %.0f runs broken", erring, seen[1], seen[0]))
+	}
+	c.erring = erring
+	if !erring {
+		return
+	}
+	c.level = levelMost
+	for len(c.hold) > 0 && c.inFlight()+len(c.hold) > 1 {
+		c.dismiss(c.hold[len(c.hold)-1], w)
+	}
+}
+
 // leave makes the server ready to go: checks fail, the level shuts, and nothing is planned past the stop.
 func (c *Choice) leave(stopAt time.Duration, w Writer) {
 	c.stopAt, c.noticed = stopAt-2*sweep, c.now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -284,3 +284,16 @@
 	assert.Equal(t, b.density(within), (&bench{Choice: newBench(nil).Choice}).density(within))
 	assert.InDelta(t, 0.525*b.density(within), b.density(over), 0.001)
 }
+
+func TestAServerThatErrsKeepsTasksOff(t *testing.T) {
+	b := newBench(nil)
+	for range 6 {
+		x := b.task("x", 0)
+		b.round(Round{Arrived: []*Task{x}})
+		b.round(Round{Ended: []Ending{{Task: x, Outcome: Broken}}})
+	}
+	said := b.round(Round{Arrived: []*Task{b.task("probe", 2), b.task("spared", 2)}})
+	assert.Equal(t, "dismiss spared, start probe", said)
+	assert.Equal(t, levelMost, b.level)
+	assert.Contains(t, b.pass(3*time.Second, Gauges{}), "health true", "it tries again by itself")
+}
