--- a/choice/choice.go
+++ b/choice/choice.go
@@ -706,8 +706,9 @@
 	c.limit = max(min(c.limit, c.ceiling()), c.cores)
 }
 
-// calibrateCalls moves the room for calls by the limit's own rule: up by one while calls wait for it and come
-// back as usual, down by the same factor when they are turned away or take much longer than they used to.
+// calibrateCalls, four times a second, moves the room for calls by the rule of the limit: up by one a second
+// while calls wait for it and come back as usual, down by the limit's factor when they are turned away or take
+// much longer than they used to.
 func (c *Choice) calibrateCalls() {
 	seen := c.called.recent(c.now, 4)
 	// The mean of a few calls varies by about the root of their number; without that margin calm servers saw
@@ -718,7 +719,7 @@
 	case c.strained:
 		c.callRoom = max(1, c.callRoom*backoff)
 	case c.callsHeld:
-		c.callRoom = min(c.callRoom+1, max(1, pick(c.terms, "calls-share", 0.0)*callShare))
+		c.callRoom = min(c.callRoom+0.25, max(1, pick(c.terms, "calls-share", 0.0)*callShare))
 	}
 	c.callsHeld = false
 }
