Tell dismissed tasks to stay away for as long as they lay unread

A task's own unread time says how much must be read first. Guards against any slow reader: cold, slow, paused. Could harm where one stall makes a single reading late.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,7 @@
 	easy         = 0.05 // part of the work that may be dismissed before the level rises
 	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02
+	unreadAdvice = 1
 	unreadWeight = 3.0
 	levelMost    = 0.95
 )
@@ -357,10 +358,17 @@
 	c.remove(t)
 	// A further try elsewhere helps only while there is time for it.
 	hopeless := t.wanted < c.now+c.need(t)
-	comeBack := time.Duration(0)
-	if t.Rank < c.level && pick(c.terms, "come-back", false) {
-		comeBack = time.Duration(c.level * float64(pick(c.terms, "come-back-most", time.Duration(0))))
+	// Those under the level are told to stay away the longer the higher it is. A task that lay unread is told
+	// to stay away for as long as it lay: what came behind it must be read first.
+	comeBack := unreadAdvice * (t.since - t.Arrived)
+	most := pick(c.terms, "come-back-most", time.Duration(0))
+	if t.Rank < c.level {
+		comeBack = max(comeBack, time.Duration(c.level*float64(most)))
 	}
+	if !pick(c.terms, "come-back", false) {
+		comeBack = 0
+	}
+	comeBack = min(comeBack, most)
 	w.Dismiss(t, comeBack, hopeless)
 }
 
