--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,7 +38,6 @@
 	easy         = 0.05 // part of the work that may be dismissed before the level rises
 	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02
-	unreadAdvice = 1
 	unreadWeight = 3.0
 	levelMost    = 0.95
 )
@@ -360,7 +359,7 @@
 	hopeless := t.wanted < c.now+c.need(t)
 	// Those under the level are told to stay away the longer the higher it is. A task that lay unread is told
 	// to stay away for as long as it lay: what came behind it must be read first.
-	comeBack := unreadAdvice * (t.since - t.Arrived)
+	comeBack := t.since - t.Arrived
 	most := pick(c.terms, "come-back-most", time.Duration(0))
 	if t.Rank < c.level {
 		comeBack = max(comeBack, time.Duration(c.level*float64(most)))
