--- a/choice/choice.go
+++ b/choice/choice.go
@@ -357,17 +357,11 @@
 	c.remove(t)
 	// A further try elsewhere helps only while there is time for it.
 	hopeless := t.wanted < c.now+c.need(t)
-	// Those under the level are told to stay away the longer the higher it is. A task that lay unread is told
-	// to stay away for as long as it lay: what came behind it must be read first.
-	comeBack := t.since - t.Arrived
-	most := pick(c.terms, "come-back-most", time.Duration(0))
-	if t.Rank < c.level {
-		comeBack = max(comeBack, time.Duration(c.level*float64(most)))
-	}
+	// A task that lay unread is told to stay away for as long as it lay: what came behind it must be read first.
+	comeBack := min(t.since-t.Arrived, pick(c.terms, "come-back-most", time.Duration(0)))
 	if !pick(c.terms, "come-back", false) {
 		comeBack = 0
 	}
-	comeBack = min(comeBack, most)
 	w.Dismiss(t, comeBack, hopeless)
 }
 
