--- a/choice/choice.go
+++ b/choice/choice.go
@@ -357,8 +357,9 @@
 	c.remove(t)
 	// A further try elsewhere helps only while there is time for it.
 	hopeless := t.wanted < c.now+c.need(t)
-	// A task that lay unread is told to stay away for as long as it lay: what came behind it must be read first.
-	comeBack := min(t.since-t.Arrived, pick(c.terms, "come-back-most", time.Duration(0)))
+	// A task that lay unread is told to stay away for as long as it lay, as what came behind it must be read
+	// first, and one left out for as long as the hold was too long for it.
+	comeBack := min(t.since-t.Arrived+t.excess, pick(c.terms, "come-back-most", time.Duration(0)))
 	if !pick(c.terms, "come-back", false) {
 		comeBack = 0
 	}
@@ -482,6 +483,7 @@
 				}
 			}
 			gone := kept[least]
+			gone.excess = start - min(latest, t.Arrived+time.Duration(plan*float64(latest-t.Arrived)))
 			kept = slices.Delete(kept, least, least+1)
 			out = append(out, gone)
 			ahead -= c.need(gone)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -212,6 +212,30 @@
 	assert.Greater(t, b.level, 0.1)
 }
 
+func TestDismissedTasksAreToldWhenToComeBack(t *testing.T) {
+	cases := []struct {
+		name   string
+		unread time.Duration
+		change map[string]any
+		want   time.Duration
+	}{
+		{"a hopeless one read at once", 0, nil, ms},
+		{"as long as it lay unread and the hold is too long", 400 * ms, nil, 561 * ms},
+		{"never longer than is heeded", 3 * time.Second, nil, time.Second},
+		{"nothing where advice is not passed on", 400 * ms, map[string]any{"come-back": false}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(c.change)
+			x := b.task("x", 0)
+			x.Arrived -= c.unread
+			x.Due = b.at + 2*sweep + b.need(x) - ms // a millisecond short of what it needs
+			assert.Equal(t, "dismiss x", b.round(Round{Arrived: []*Task{x}}))
+			assert.InDelta(t, c.want, b.stay, float64(ms))
+		})
+	}
+}
+
 func TestCallsUnderStrain(t *testing.T) {
 	b := newBench(nil)
 	b.strained, b.callRoom = true, 1
--- a/choice/task.go
+++ b/choice/task.go
@@ -49,6 +49,7 @@
 	since     time.Duration // start of the present phase
 	onCore    time.Duration // time on the cores so far
 	atCalls   time.Duration // time spent on calls so far
+	excess    time.Duration // by how much the hold was too long when it was left out
 	refusals  int           // calls of it that did not go well
 	notBefore time.Duration // when its call may be tried again
 }
