--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,6 +34,7 @@
 	customerSpan = 10 * time.Second
 	guess        = 6    // a type never seen is taken to need this part of its contract time
 	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
+	median       = 0.7  // of the core time of a type's tasks, as a part of their mean
 	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
 	easy         = 0.05 // part of the work that may be dismissed before the level rises
 	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
@@ -472,7 +473,9 @@
 		for len(kept) > 0 {
 			need := c.need(t)
 			start := c.now + time.Duration(float64(ahead-need)/wide)
-			latest := t.wanted - need
+			// A mean is no bound: about half of the tasks need well under it, as few very long ones make it up.
+			// Judged by the whole mean, a server with cores to spare sent away what it could have done.
+			latest := t.wanted - time.Duration(median*float64(need))
 			if start <= latest && start <= t.Arrived+time.Duration(plan*float64(latest-t.Arrived)) {
 				break
 			}
