--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	strainShare  = 0.5  // part of the room for calls open to tasks that can do without, under strain
 	customerSpan = 10 * time.Second
 	guess        = 6    // a type never seen is taken to need this part of its contract time
-	plan         = 0.6  // part of the time a task could be held at most that it is planned to be held
+	plan         = 0.75 // part of the time a task could be held at most that it is planned to be held
 	median       = 0.7  // of the core time of a type's tasks, as a part of their mean
 	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
 	easy         = 0.05 // part of the work that may be dismissed before the level rises
