Let reading go first when it heaps up on the cores

Cause: in bursts reads and runs shared the cores at 1.7 a core; every task was 0.6 to 1.6 s old when read, and most were then read in vain. Told from a slow machine by all servers showing it at once with their pace unchanged.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -331,3 +331,11 @@
 	assert.Equal(t, levelMost, b.level)
 	assert.Contains(t, b.pass(3*time.Second, Gauges{}), "health true", "it tries again by itself")
 }
+
+func TestReadingGoesFirstWhenItHeapsUp(t *testing.T) {
+	b := newBench(nil)
+	b.pass(sweep, Gauges{Crowd: 4})
+	two := []*Task{b.task("first", 0), b.task("second", 0)}
+	assert.Equal(t, "start first", b.round(Round{Arrived: two}))
+	assert.Equal(t, "start second", b.pass(sweep, Gauges{Crowd: 3}))
+}
