--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,6 @@
 	customerSpan = 10 * time.Second
 	guess        = 6    // a type never seen is taken to need this part of its contract time
 	plan         = 0.75 // part of the time a task could be held at most that it is planned to be held
-	readFloor    = 0.25 // part of the cores that runs always get
 	readCrowd    = 1.2  // runs and reads a core at which no further run starts
 	median       = 0.7  // of the core time of a type's tasks, as a part of their mean
 	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
@@ -178,7 +177,7 @@
 	}
 	if r.Gauges != nil {
 		c.gauges = *r.Gauges
-		c.reads = c.gauges.Crowd - float64(c.onCores())
+		c.reads = min(c.gauges.Crowd-float64(c.onCores()), c.cores) // one a core at a time
 		c.measure(w)
 		w.Wake(sweep)
 	}
@@ -581,9 +580,9 @@
 		return false
 	}
 	// Reads share the cores with runs. When they heap up, in a burst or on a cold server, each task is old before
-	// it is known, and most are then read in vain; so reading goes first, down to a few runs. It could harm
-	// where reads are long and many but nothing lies unread.
-	if on >= c.cores*readFloor && on+c.reads >= c.cores*readCrowd {
+	// it is known, and most are then read in vain; so reading goes first. At most one task a core is read at a
+	// time, so some runs always go on. It could harm where reads are many but short.
+	if on+c.reads >= c.cores*readCrowd {
 		return false
 	}
 	return in < math.Floor(c.limit) || on < c.cores && c.gauges.Memory < softMemory
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -336,6 +336,6 @@
 	b := newBench(nil)
 	b.pass(sweep, Gauges{Crowd: 4})
 	two := []*Task{b.task("first", 0), b.task("second", 0)}
-	assert.Equal(t, "start first", b.round(Round{Arrived: two}))
+	assert.Equal(t, "start first", b.round(Round{Arrived: two}), "reads leave room for one")
 	assert.Equal(t, "start second", b.pass(sweep, Gauges{Crowd: 3}))
 }
