--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,25 +23,25 @@
 	backoff      = 0.75                  // what a backoff event leaves of the limit
 	softMemory   = 0.75
 	softCPU      = 0.90
-	idleCPU      = 0.70 // held tasks start beyond the limit below this
-	degraded     = 1.5  // short average of latency over the long one
-	mostPerCore  = 6.0  // ceiling of the limit, in tasks a core
-	crowdShare   = 0.8  // part of the survived crowd that may be in flight
-	hardMemory   = 0.9  // part of the memory that is ever planned for
-	callShare    = 0.7  // part of the server's share of the dependency that it ever uses
-	callStart    = 0.4  // part of it that it starts with
-	strainShare  = 0.5  // part of the room for calls open to tasks that can do without, under strain
-	customerSpan = 10 * time.Second
-	guess        = 6    // a type never seen is taken to need this part of its contract time
-	plan         = 0.75 // part of the time a task could be held at most that it is planned to be held
-	readCrowd    = 1.2  // runs and reads a core at which no further run starts
-	median       = 0.7  // of the core time of a type's tasks, as a part of their mean
-	doubt        = 2.0  // runs' worth of trust that the long average gets beside the recent one
-	easy         = 0.05 // part of the work that may be dismissed before the level rises
-	levelRise    = 0.05 // what the level gains in a tenth of a second when all is dismissed
-	levelFall    = 0.02
-	unreadWeight = 3.0
-	levelMost    = 0.95
+	idleCPU      = 0.70             // the limit climbs fast below this while work is held
+	degraded     = 1.5              // short average of latency over the long one
+	mostPerCore  = 6.0              // ceiling of the limit, in tasks a core
+	crowdShare   = 0.8              // part of the survived crowd that may be in flight
+	hardMemory   = 0.9              // part of the memory that is ever planned for
+	callShare    = 0.7              // part of its share of the dependency that a server ever uses
+	callStart    = 0.4              // part of it that it starts with
+	strainShare  = 0.5              // part of that room open to tasks that can do without, under strain
+	customerSpan = 10 * time.Second // over which a customer's share is judged
+	guess        = 6                // a type never seen is taken to need this part of its contract time
+	plan         = 0.75             // part of the time a task could wait that it is planned to wait
+	readCrowd    = 1.2              // runs and reads a core at which no further run starts
+	median       = 0.7              // of the core time of a type's tasks, as a part of their mean
+	doubt        = 2.0              // runs' worth of trust that the long average gets beside the recent one
+	easy         = 0.05             // part of the work that may be dismissed before the level rises
+	levelRise    = 0.05             // what the level gains in a tenth of a second when all is dismissed
+	levelFall    = 0.02             // what it loses once few are dismissed or cores are free
+	unreadWeight = 3.0              // push of the part of the contract time that lies unread
+	levelMost    = 0.95             // the most important tasks are never kept away altogether
 )
 
 // Choice is the decisions of one server and all it remembers.
@@ -57,7 +57,7 @@
 	cores, memory, factor, numberKB float64
 
 	hold    []*Task // by due time
-	active  []*Task // all others that hold something: running, at a call, paused, echoing, answered but on
+	active  []*Task // all others that hold something: running, at a call, echoing, answered but on
 	numbers []*Task // entries of the table of numbers
 	linger  []time.Duration
 
@@ -162,7 +162,7 @@
 		c.returned(e, w)
 	}
 	for _, t := range r.AtCall {
-		if t.phase == running || t.phase == paused {
+		if t.phase == running {
 			c.enter(t, wantsCall)
 		}
 	}
@@ -199,15 +199,12 @@
 func (c *Choice) enter(t *Task, next phase) {
 	spent := c.now - t.since
 	t.since = c.now
-	switch t.phase {
-	case running, over:
+	if t.phase == running || t.phase == over {
 		t.onCore += spent
 		t.Type.runs.add(c.now, spent.Seconds())
 		if t.Hint > 0 {
 			c.paced.add(c.now, spent.Seconds())
 		}
-	case wantsCall, calling:
-		t.atCalls += spent
 	}
 	t.phase = next
 }
@@ -288,7 +285,8 @@
 	// A call turned away costs the dependency work too. Asking again at once would keep a jam alive that
 	// all servers feed, so each asks later than the last time, and no two at the same moment.
 	t.refusals++
-	wait := max(c.callUsual.mean, sweep.Seconds()) * math.Exp2(float64(min(t.refusals, 6))) * (0.5 + c.rng.Float64())
+	wait := max(c.callUsual.mean, sweep.Seconds()) * math.Exp2(float64(min(t.refusals, 6)))
+	wait *= 0.5 + c.rng.Float64()
 	t.notBefore = c.now + time.Duration(wait*float64(time.Second))
 	if e.Outcome == Unclear {
 		c.linger = append(c.linger, c.now+pick(c.terms, "calls-linger", time.Duration(0)))
@@ -310,9 +308,6 @@
 		c.remove(t)
 		return
 	}
-	if e.Outcome == Stopped && t.phase == paused && !t.settled {
-		return // the pause took hold
-	}
 	c.enter(t, t.phase)
 	if e.Outcome == Done || e.Outcome == Broken {
 		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
@@ -332,7 +327,7 @@
 // may come again with the number, and is then answered from this run.
 func (c *Choice) gone(t *Task, w Writer) {
 	switch {
-	case t.phase == held && !t.ran || t.phase == echoing || t.phase == paused:
+	case t.phase == held || t.phase == echoing:
 		c.forget(t, w)
 		t.settled = true
 		c.remove(t)
@@ -403,8 +398,9 @@
 
 // shield keeps tasks off a server whose runs end broken, whatever breaks them. Broken runs are quick, so
 // callers that pick the fastest or least busy flock to such a server, and a numbered or at-most-once task
-// broken here can't be run elsewhere. One task at a time is still run, to see the end of it. It could harm where
-// all servers break most runs, as the few that would go well are then dismissed too; hence only past a half.
+// broken here can't be run elsewhere. One task at a time is still run, to see the end of it. It could harm
+// where all servers break most runs, as the few that would go well are then dismissed too; hence only past
+// a half.
 func (c *Choice) shield(w Writer) {
 	seen := c.ends.sum(c.now)
 	erring := seen[0] >= 6 && seen[1] > seen[0]/2
@@ -446,7 +442,7 @@
 func (c *Choice) need(t *Task) time.Duration {
 	if t.Hint > 0 && c.pace.count > 0 {
 		seen := c.paced.sum(c.now)
-		trust := doubt * c.Types[0].usual.mean
+		trust := doubt * t.Hint.Seconds()
 		return time.Duration((seen[0] + trust*c.pace.mean) / (seen[1] + trust) * float64(t.Hint))
 	}
 	usual := t.Type.usual.mean
@@ -476,8 +472,8 @@
 		for len(kept) > 0 {
 			need := c.need(t)
 			start := c.now + time.Duration(float64(ahead-need)/wide)
-			// A mean is no bound: about half of the tasks need well under it, as few very long ones make it up.
-			// Judged by the whole mean, a server with cores to spare sent away what it could have done.
+			// A mean is no bound: most tasks need less, as a few very long ones make it up. Judged
+			// by the whole mean, a server with cores to spare sent away what it could have done.
 			latest := t.wanted - time.Duration(median*float64(need))
 			if start <= latest && start <= t.Arrived+time.Duration(plan*float64(latest-t.Arrived)) {
 				break
@@ -571,17 +567,17 @@
 }
 
 // mayStart is the gate of the design: under the limit, or beyond it while the cores have room to spare. The
-// departure: room is a core with no run on it now, not a gauge below 70%. That gauge looks half a second back,
-// so with runs away at calls a server full of held work kept a sixth of its cores idle. It acts only while
-// runs wait at calls or disk, and could harm where those all come back at once; crowdRoom bounds that.
+// departure: room is a core with no run on it now, not a gauge below 70%. That gauge looks half a second
+// back, so with runs away at calls a server full of held work kept a sixth of its cores idle. It acts only
+// while runs wait at calls or disk, and could harm where those all come back at once; crowdRoom bounds that.
 func (c *Choice) mayStart(t *Task) bool {
 	in, on := float64(c.inFlight()), float64(c.onCores())
 	if in+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
 		return false
 	}
-	// Reads share the cores with runs. When they heap up, in a burst or on a cold server, each task is old before
-	// it is known, and most are then read in vain; so reading goes first. At most one task a core is read at a
-	// time, so some runs always go on. It could harm where reads are many but short.
+	// Reads share the cores with runs. When they heap up, in a burst or on a cold server, each task is old
+	// before it is known, and most are then read in vain; so reading goes first. At most one task a core is
+	// read at a time, so some runs always go on. It could harm where reads are many but short.
 	if on+c.reads >= c.cores*readCrowd {
 		return false
 	}
@@ -722,8 +718,8 @@
 }
 
 // calibrateCalls, four times a second, moves the room for calls by the rule of the limit: up by one a second
-// while calls wait for it and come back as usual, down by the limit's factor when they are turned away or take
-// much longer than they used to.
+// while calls wait for it and come back as usual, down by the limit's factor when they are turned away or
+// take much longer than they used to.
 func (c *Choice) calibrateCalls() {
 	seen := c.called.recent(c.now, 4)
 	// The mean of a few calls varies by about the root of their number; without that margin calm servers saw
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -82,17 +82,24 @@
 
 func (b *bench) say(what string, t *Task) { b.said = append(b.said, what+" "+b.names[t]) }
 
-func (b *bench) Start(t *Task)                               { b.say("start", t) }
-func (b *bench) Pause(t *Task)                               { b.say("pause", t) }
-func (b *bench) Dismiss(t *Task, stay time.Duration, _ bool) { b.say("dismiss", t); b.stay = stay }
-func (b *bench) GiveUp(t *Task)                              { b.say("give up", t) }
-func (b *bench) AnswerFromFirst(t *Task)                     { b.say("echo", t) }
-func (b *bench) Remember(t *Task, _ time.Duration)           { b.say("remember", t) }
-func (b *bench) Forget(t *Task)                              { b.say("forget", t) }
-func (b *bench) Call(t *Task, _ time.Duration)               { b.say("call", t) }
-func (b *bench) SkipCall(t *Task)                            { b.say("skip", t) }
-func (b *bench) Health(good, _ bool)                         { b.said = append(b.said, fmt.Sprint("health ", good)) }
-func (b *bench) Level(level float64)                         { b.said = append(b.said, fmt.Sprintf("level %.2f", level)) }
-func (b *bench) CloseIdle(time.Duration)                     {}
-func (b *bench) Wake(time.Duration)                          {}
-func (b *bench) Note(string)                                 {}
+func (b *bench) Start(t *Task) { b.say("start", t) }
+func (b *bench) Pause(t *Task) { b.say("pause", t) }
+func (b *bench) Dismiss(t *Task, stay time.Duration, _ bool) {
+	b.say("dismiss", t)
+	b.stay = stay
+}
+func (b *bench) GiveUp(t *Task)                    { b.say("give up", t) }
+func (b *bench) AnswerFromFirst(t *Task)           { b.say("echo", t) }
+func (b *bench) Remember(t *Task, _ time.Duration) { b.say("remember", t) }
+func (b *bench) Forget(t *Task)                    { b.say("forget", t) }
+func (b *bench) Call(t *Task, _ time.Duration)     { b.say("call", t) }
+func (b *bench) SkipCall(t *Task)                  { b.say("skip", t) }
+func (b *bench) Health(good, _ bool) {
+	b.said = append(b.said, fmt.Sprint("health ", good))
+}
+func (b *bench) Level(level float64) {
+	b.said = append(b.said, fmt.Sprintf("level %.2f", level))
+}
+func (b *bench) CloseIdle(time.Duration) {}
+func (b *bench) Wake(time.Duration)      {}
+func (b *bench) Note(string)             {}
--- a/choice/task.go
+++ b/choice/task.go
@@ -48,7 +48,6 @@
 	wanted    time.Duration // the moment after which its answer earns nothing
 	since     time.Duration // start of the present phase
 	onCore    time.Duration // time on the cores so far
-	atCalls   time.Duration // time spent on calls so far
 	excess    time.Duration // by how much the hold was too long when it was left out
 	refusals  int           // calls of it that did not go well
 	notBefore time.Duration // when its call may be tried again
@@ -61,7 +60,6 @@
 	running
 	wantsCall
 	calling
-	paused
 	echoing
 	over
 )
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -89,7 +89,8 @@
 		batch(configure),
 		batch(event{wire.Req, 7, with(1)}),
 		batch(event{wire.Req, 7, with(2, 41, 1)}, event{wire.AtCall, 7, with(1)}),
-		batch(event{wire.CallResult, 7, with(1)}, event{wire.Finished, 7, with(1)}, event{wire.ClientGone, 7, with(9)}),
+		batch(event{wire.CallResult, 7, with(1)}, event{wire.Finished, 7, with(1)},
+			event{wire.ClientGone, 7, with(9)}),
 		batch(event{wire.Down, 7, nil}, configure),
 		batch(event{wire.Alarm, 7, func(r []byte) { r[7] = 4 }}),
 	)
@@ -128,9 +129,11 @@
 		want   string
 	}{
 		{"short", [][]byte{batch()[:5]}, "batch 0: header: frame cut short"},
-		{"unknown code", [][]byte{batch(configure), batch(event{99, 7, nil})}, "batch 1, record 0: unknown event code 99"},
+		{"unknown code", [][]byte{batch(configure), batch(event{99, 7, nil})},
+			"batch 1, record 0: unknown event code 99"},
 		{"never configured", [][]byte{batch(event{wire.Alarm, 4, nil})}, "record 0: event 80 for instance 4"},
-		{"outside the tail", [][]byte{batch(event{wire.Configure, 7, func(r []byte) { r[14] = 1 }})}, "outside the tail"},
+		{"outside the tail", [][]byte{batch(event{wire.Configure, 7, func(r []byte) { r[14] = 1 }})},
+			"outside the tail"},
 		{"repeated id", [][]byte{batch(configure, event{wire.Req, 7, with(1)}, event{wire.Req, 7, with(1)})},
 			"record 2: task id 1 came twice"},
 		{"unknown type", [][]byte{batch(configure, event{wire.Req, 7, with(1, 56, 3<<8)})}, "traffic type 3 of 1"},
