Ask callers not to try elsewhere while the level is high

Cause: in overload a dismissed task walks through the fleet and is read at each stop; by the time the level is over 0.3 the others are as full.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,6 +41,7 @@
 	levelRise    = 0.05             // what the level gains in a tenth of a second when all is dismissed
 	levelFall    = 0.02             // what it loses once few are dismissed or cores are free
 	unreadWeight = 3.0              // push of the part of the contract time that lies unread
+	fullLevel    = 0.3              // dismissals ask callers not to try elsewhere over this
 	levelMost    = 0.95             // the most important tasks are never kept away altogether
 )
 
@@ -354,8 +355,10 @@
 	c.forget(t, w)
 	t.settled = true
 	c.remove(t)
-	// A further try elsewhere helps only while there is time for it.
-	hopeless := t.wanted < c.now+c.need(t)
+	// A further try elsewhere helps only while there is time for it and room: a level this high has stood for
+	// seconds, and then the others, among whom callers spread what they send, are mostly as full. Each try costs
+	// one more reading. It could harm where this server alone is slow and its callers heed this before the level.
+	hopeless := t.wanted < c.now+c.need(t) || c.level > fullLevel
 	// A task that lay unread is told to stay away for as long as it lay, as what came behind it must be read
 	// first, and one left out for as long as the hold was too long for it.
 	comeBack := min(t.since-t.Arrived+t.excess, pick(c.terms, "come-back-most", time.Duration(0)))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -339,3 +339,17 @@
 	assert.Equal(t, "start first", b.round(Round{Arrived: two}), "reads leave room for one")
 	assert.Equal(t, "start second", b.pass(sweep, Gauges{Crowd: 3}))
 }
+
+func TestDismissalsWanderOnlyWhileOthersMayHaveRoom(t *testing.T) {
+	for _, c := range []struct {
+		level float64
+		left  time.Duration
+		want  bool
+	}{{0, time.Second, false}, {fullLevel, time.Second, false}, {0.4, time.Second, true}, {0, 100 * ms, true}} {
+		b := newBench(nil)
+		x := b.task("x", 0)
+		x.wanted, b.level = b.at+c.left, c.level
+		b.dismiss(x, b)
+		assert.Equal(t, c.want, b.nowhereElse)
+	}
+}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -12,10 +12,11 @@
 // bench drives one Choice as a program would and keeps what it decided, by task name.
 type bench struct {
 	*Choice
-	names map[*Task]string
-	said  []string
-	stay  time.Duration // the advice of the last dismissal
-	at    time.Duration
+	names       map[*Task]string
+	said        []string
+	stay        time.Duration // the advice of the last dismissal
+	nowhereElse bool
+	at          time.Duration
 }
 
 // terms are those of a server of four cores with a type of each kind, changed where a case wants.
@@ -84,9 +85,9 @@
 
 func (b *bench) Start(t *Task) { b.say("start", t) }
 func (b *bench) Pause(t *Task) { b.say("pause", t) }
-func (b *bench) Dismiss(t *Task, stay time.Duration, _ bool) {
+func (b *bench) Dismiss(t *Task, stay time.Duration, nowhereElse bool) {
 	b.say("dismiss", t)
-	b.stay = stay
+	b.stay, b.nowhereElse = stay, nowhereElse
 }
 func (b *bench) GiveUp(t *Task)                    { b.say("give up", t) }
 func (b *bench) AnswerFromFirst(t *Task)           { b.say("echo", t) }
