Tell the age of a try from the time its caller still gives it

Cause: further tries hide their age, and work went into tries that were late already. Each caller gives its tries of a type one time, seen in all first tries; an odd one is what is left of the outer limit, which tells when that began.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,7 @@
 	guess        = 6                // a type never seen is taken to need this part of its contract time
 	plan         = 0.75             // part of the time a task could wait that it is planned to wait
 	readCrowd    = 1.2              // runs and reads a core at which no further run starts
+	surely       = 4                // tries by which a caller's usual time must lead before an odd one counts
 	median       = 0.7              // of the core time of a type's tasks, as a part of their mean
 	doubt        = 2.0              // runs' worth of trust that the long average gets beside the recent one
 	easy         = 0.05             // part of the work that may be dismissed before the level rises
@@ -131,6 +132,7 @@
 			Calls:        pick(terms, of+"calls", false),
 			SkipShare:    pick(terms, of+"skip-share", 0.0),
 			runs:         newRing(6*time.Second, 12),
+			tries:        map[uint32]*tryTime{},
 		}
 		switch pick(terms, of+"repeats", "reissuable") {
 		case "numbered":
@@ -229,7 +231,7 @@
 	t.last -= 2 * sweep
 	t.wanted = t.last
 	if t.Type.LateShare == 0 {
-		t.wanted = min(t.last, t.Arrived+t.Type.ContractTime)
+		t.wanted = min(t.last, c.firstTry(t)+t.Type.ContractTime)
 	}
 	if t.Customer < len(c.customers) {
 		c.customers[t.Customer].asked.add(c.now, 1)
@@ -270,6 +272,33 @@
 	c.hold = slices.Insert(c.hold, i, t)
 }
 
+// firstTry is when a task's client first asked, as far as its own figures prove it. A caller gives every try
+// of a type the same time, except where what is left of the outer limit says otherwise; a try with an odd
+// time shows how much is left, and so when the limit began. Without this, work went into tries that were late
+// already. It could harm where one caller gives its tries different times: the rarer ones seem older.
+func (c *Choice) firstTry(t *Task) time.Duration {
+	if t.Due == 0 {
+		return t.Arrived
+	}
+	of := t.Type.tries[t.Caller]
+	if of == nil {
+		of = &tryTime{}
+		t.Type.tries[t.Caller] = of
+	}
+	left := t.Due - t.Arrived
+	if (left - of.usual).Abs() <= sweep {
+		of.ahead++
+		return t.Arrived
+	}
+	if of.ahead--; of.ahead < 0 {
+		of.ahead, of.usual = 1, left
+	}
+	if of.ahead < surely {
+		return t.Arrived
+	}
+	return min(t.Arrived, t.Due-t.Type.OuterLimit)
+}
+
 func (c *Choice) returned(e Ending, w Writer) {
 	t := e.Task
 	if t.phase != calling {
@@ -356,8 +385,8 @@
 	t.settled = true
 	c.remove(t)
 	// A further try elsewhere helps only while there is time for it and room: a level this high has stood for
-	// seconds, and then the others, among whom callers spread what they send, are mostly as full. Each try costs
-	// one more reading. It could harm where this server alone is slow and its callers heed this before the level.
+	// seconds, and then the others, among whom callers spread what they send, are mostly as full. Each try
+	// costs a reading. It could harm where this server alone is slow and callers heed this before the level.
 	hopeless := t.wanted < c.now+c.need(t) || c.level > fullLevel
 	// A task that lay unread is told to stay away for as long as it lay, as what came behind it must be read
 	// first, and one left out for as long as the hold was too long for it.
--- a/choice/task.go
+++ b/choice/task.go
@@ -24,6 +24,7 @@
 	Calls        bool
 	SkipShare    float64
 
+	tries   map[uint32]*tryTime // by caller
 	runs    *ring
 	usual   trend // core seconds of a run
 	latency trend // seconds from start to end
@@ -38,7 +39,8 @@
 	Due      time.Duration // when its caller stops waiting; 0 where that is not told
 	Rank     float64       // its place from 0 to under 1, by which routers heed the level
 	Customer int
-	Again    bool // a repeat of a numbered task known here
+	Caller   uint32 // the router it came from
+	Again    bool   // a repeat of a numbered task known here
 
 	phase     phase
 	ran       bool
@@ -53,6 +55,12 @@
 	notBefore time.Duration // when its call may be tried again
 }
 
+// tryTime is what a caller gives most of its tries, and by how many those outnumber the others.
+type tryTime struct {
+	usual time.Duration
+	ahead int
+}
+
 type phase int
 
 const (
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -177,6 +177,7 @@
 		Due:      time.Duration(r.U64(25)) * time.Microsecond,
 		Rank:     r.F32(37),
 		Customer: int(r.U32(33)),
+		Caller:   r.U32(49),
 		Again:    r.U64(41) != 0,
 	}
 	if r.U16(15)&1 != 0 {
