Hold back runs that must call while calls heap up under strain

Cause: with the dependency crowded by an enlarged, cold fleet, tasks were started because cores were idle, waited at their calls until they were late, and being run could go nowhere else. Told from a slow machine by idle cores and empty holds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,6 +31,7 @@
 	callShare    = 0.7              // part of its share of the dependency that a server ever uses
 	callStart    = 0.4              // part of it that it starts with
 	strainShare  = 0.5              // part of that room open to tasks that can do without, under strain
+	strainHeap   = 4.0              // rooms of calls in wait at which runs that must call are held
 	customerSpan = 10 * time.Second // over which a customer's share is judged
 	guess        = 6                // a type never seen is taken to need this part of its contract time
 	plan         = 0.75             // part of the time a task could wait that it is planned to wait
@@ -604,6 +605,11 @@
 // while runs wait at calls or disk, and could harm where those all come back at once; crowdRoom bounds that.
 func (c *Choice) mayStart(t *Task) bool {
 	in, on := float64(c.inFlight()), float64(c.onCores())
+	// A run that must call would only wait behind those, die there and then be answered for nowhere else. It
+	// could harm where a few slow calls look like strain and the cores fall idle.
+	if c.strained && t.Type.Calls && t.Type.SkipShare == 0 && in-on > strainHeap*c.callRoom {
+		return false
+	}
 	if in+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
 		return false
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -369,3 +369,20 @@
 	assert.Equal(t, 4*time.Second, try(1, time.Second))
 	assert.Zero(t, try(2, time.Second), "callers have times of their own")
 }
+
+func TestUnderStrainRunsThatMustCallAreHeldBack(t *testing.T) {
+	for _, c := range []struct {
+		kind int
+		want string
+	}{{0, "start x"}, {2, ""}} {
+		b := newBench(nil)
+		b.strained, b.callRoom = true, 0.5
+		var away []*Task
+		for i := range 4 {
+			away = append(away, b.task(fmt.Sprint(i), 2))
+		}
+		b.round(Round{Arrived: away})
+		b.round(Round{AtCall: away})
+		assert.Equal(t, c.want, b.round(Round{Arrived: []*Task{b.task("x", c.kind)}}))
+	}
+}
