Serve on real sockets: one app server program around the module

The module runs behind routers' frames on netpoll, with a link to the worker pool and reports to the membership service.

A connection closed in a callback that runs on the poller waits for the poller to let go of it, for ever, so callbacks run on the owner of decisions. Its Flush blocks until the peer reads, so answers are written by gathered writes of our own that leave what the socket does not take for the next round.

--- a/cmd/adapter/instance.go
+++ b/cmd/adapter/instance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quartzpoint/choice"
+	"quartzpoint/internal/terms"
 	"quartzpoint/internal/wire"
 )
 
@@ -19,7 +20,7 @@
 type instance struct {
 	who     uint16
 	module  *choice.Choice
-	gauges  []string
+	terms   *terms.Terms
 	tasks   map[uint64]*entry
 	ids     map[*choice.Task]uint64
 	round   choice.Round
@@ -29,14 +30,14 @@
 }
 
 func newInstance(who uint16, seed uint64, info string, reply *wire.Reply) (*instance, error) {
-	terms, gauges, err := readTerms(info)
+	told, err := terms.FromLines(info)
 	if err != nil {
 		return nil, err
 	}
 	return &instance{
 		who:    who,
-		module: choice.New(terms, int64(seed)),
-		gauges: gauges,
+		module: choice.New(told.Values, int64(seed)),
+		terms:  told,
 		tasks:  map[uint64]*entry{},
 		ids:    map[*choice.Task]uint64{},
 		reply:  reply,
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -194,19 +194,11 @@
 	if count > (len(r)-8)/4 {
 		return fmt.Errorf("%d gauges don't fit a record", count)
 	}
-	for i, name := range in.gauges[:min(count, len(in.gauges))] {
-		value := r.F32(8 + 4*i)
-		switch name {
-		case "core_use":
-			in.reading.CPU = value
-		case "on_cores":
-			in.reading.Crowd = value
-		case "heap_share":
-			in.reading.Memory = value
-		case "links":
-			in.reading.Links = value
-		}
+	var readings [(64 - 8) / 4]float64
+	for i := range count {
+		readings[i] = r.F32(8 + 4*i)
 	}
+	in.terms.Gauges(&in.reading, readings[:count])
 	in.round.Gauges = &in.reading
 	return nil
 }
--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,59 @@
+// Package check watches over what must hold and counts what should not happen. A debug build stops at the
+// first thing that does not hold; a release build goes on, counts it and tells of it once.
+package check
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Counts are the counters of one process, by what happened.
+type Counts struct {
+	log *slog.Logger
+
+	mu    sync.Mutex
+	times map[string]int
+}
+
+// New makes counters that log to log.
+func New(log *slog.Logger) *Counts { return &Counts{log: log, times: map[string]int{}} }
+
+// That asserts what must hold, named by what it would mean if it did not.
+func (c *Counts) That(holds bool, otherwise string) {
+	if holds {
+		return
+	}
+	if Debug {
+		panic("check failed: " + otherwise)
+	}
+	c.Saw("check failed: " + otherwise)
+}
+
+// Saw counts what came from outside or ran out, and logs the first time of each.
+func (c *Counts) Saw(what string) {
+	c.mu.Lock()
+	c.times[what]++
+	first := c.times[what] == 1
+	c.mu.Unlock()
+	if first {
+		c.log.Warn("first seen, counted from here on", "what", what)
+	}
+}
+
+// Report logs all counters that moved, by name.
+func (c *Counts) Report() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, what := range slices.Sorted(maps.Keys(c.times)) {
+		c.log.Info("counted", "what", what, "times", c.times[what])
+	}
+}
+
+// Times tells how often something was counted.
+func (c *Counts) Times(what string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.times[what]
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,327 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"quartzpoint/internal/frame"
+	"quartzpoint/internal/outbox"
+	"quartzpoint/internal/server"
+)
+
+const (
+	mostOpen   = 32      // requests on a connection
+	mostBody   = 2 << 10 // bytes of a request
+	mostAnswer = 4<<10 + 256
+	mostHeap   = 2000.0 // KB booked for a request
+	mostWaits  = 24 * time.Hour
+	mostAge    = 10 * time.Minute // of a request when read; more is a clock that is wrong
+	mostAhead  = time.Minute      // by which a request may come from the future
+)
+
+// connKey finds a connection in its context.
+type connKey struct{}
+
+// conn is one connection of a router. It belongs to the owner of decisions, but for what mu guards.
+type conn struct {
+	front *Front
+	link  netpoll.Connection
+
+	mu   sync.Mutex
+	gone bool // the descriptor may already stand for another file
+	fd   int
+
+	open    map[uint32]*server.Task // nil values never stand in it
+	part    []byte                  // the beginning of a frame whose rest has not come
+	beyond  int                     // bytes to pass over
+	out     *outbox.Box
+	dirty   bool
+	dead    bool
+	retired bool
+	last    time.Duration // when it last carried something
+}
+
+func newConn(f *Front, link netpoll.Connection) *conn {
+	return &conn{
+		front: f, link: link, fd: link.(netpoll.Conn).Fd(),
+		open: map[uint32]*server.Task{}, out: outbox.New(mostOpen * mostAnswer),
+		last: f.server.Now(),
+	}
+}
+
+// join is the connection's first turn with the owner.
+func (c *conn) join() { c.front.joined(c) }
+
+// ended is netpoll's callback for the end of a connection, from whichever goroutine noticed it. It comes
+// before the descriptor is closed and used again for another file.
+func (c *conn) ended(netpoll.Connection) error {
+	c.mu.Lock()
+	c.gone = true
+	c.mu.Unlock()
+	c.front.server.Post(c.leave)
+	return nil
+}
+
+// leave tells the server that nobody waits for what is open here.
+func (c *conn) leave() {
+	c.dead = true
+	c.front.left(c)
+	c.front.waiting -= c.out.Size()
+	for _, stream := range slices.Sorted(maps.Keys(c.open)) {
+		c.front.server.Gone(c.open[stream])
+	}
+	clear(c.open)
+}
+
+func (c *conn) close() {
+	c.dead = true
+	_ = c.link.Close() // its end comes as a callback
+}
+
+// read is netpoll's callback for bytes that came; runOnOwner brings it to the owner. It must take all there
+// is: netpoll calls again at once for as long as anything is left.
+func read(ctx context.Context, link netpoll.Connection) error {
+	c := ctx.Value(connKey{}).(*conn)
+	in := link.Reader()
+	bytes, err := in.Next(in.Len())
+	if err != nil {
+		return err
+	}
+	if !c.dead {
+		c.take(bytes)
+	}
+	return in.Release()
+}
+
+// take goes through what was read. Frames are parsed in place; only the beginning of one whose rest has not
+// come is copied.
+func (c *conn) take(bytes []byte) {
+	c.last = c.front.server.Now()
+	if len(c.part) > 0 {
+		c.part = append(c.part, bytes...)
+		bytes = c.part
+	}
+	for !c.dead {
+		over := min(c.beyond, len(bytes))
+		bytes, c.beyond = bytes[over:], c.beyond-over
+		f, rest, ok, err := frame.Cut(bytes)
+		if err != nil {
+			c.fail(err.Error())
+			return
+		}
+		if !ok {
+			break
+		}
+		bytes, c.beyond = rest, f.Beyond
+		if f.Type == frame.Check {
+			c.check(f)
+		} else {
+			c.request(f)
+		}
+	}
+	c.part = append(c.part[:0], bytes...)
+	if len(c.part) == 0 {
+		c.part = nil // an idle connection holds no buffer
+	}
+}
+
+func (c *conn) check(f frame.Frame) {
+	fields, _, err := frame.Split(f.Payload)
+	if err != nil {
+		c.fail(err.Error())
+		return
+	}
+	deep, _ := fields.Get("e2e")
+	c.front.server.Check(c, f.Stream, string(deep) == "1")
+}
+
+// request takes a request. What breaks the framing ends the connection; what is whole but can't be
+// understood is refused, as then the router knows that it never ran.
+func (c *conn) request(f frame.Frame) {
+	switch {
+	case f.Stream == 0 || c.open[f.Stream] != nil:
+		c.fail("stream in use")
+		return
+	case len(c.open) >= mostOpen:
+		c.fail("too many open requests")
+		return
+	case f.Beyond > 0:
+		c.refuse(f.Stream, "request too long")
+		return
+	}
+	fields, body, err := frame.Split(f.Payload)
+	if err != nil {
+		c.fail(err.Error())
+		return
+	}
+	asked, err := c.asked(fields, body)
+	if err != nil {
+		c.refuse(f.Stream, err.Error())
+		return
+	}
+	asked.Caller, asked.Stream = c, f.Stream
+	if t := c.front.server.Take(asked); t != nil {
+		c.open[f.Stream] = t
+	}
+}
+
+func (c *conn) refuse(stream uint32, why string) {
+	c.front.counts.Saw("request not understood: " + why)
+	c.front.server.Refuse(c, stream)
+}
+
+// asked reads a request's fields. Nothing of it points into what was read.
+func (c *conn) asked(fields frame.Fields, body []byte) (a server.Asked, err error) {
+	text := func(name string) string {
+		value, _ := fields.Get(name)
+		return string(value)
+	}
+	a.Type, a.ID = text("op"), text("call")
+	if !isCall(a.ID) {
+		return a, errors.New("call")
+	}
+	if len(body) > mostBody {
+		return a, errors.New("body")
+	}
+	came, err := strconv.ParseInt(text("recv"), 10, 64)
+	age := time.Since(time.UnixMilli(came))
+	if err != nil || age > mostAge || age < -mostAhead {
+		return a, errors.New("recv")
+	}
+	if left := text("ttl"); left != "" {
+		ms, err := strconv.ParseInt(left, 10, 64)
+		if err != nil || ms <= 0 || ms > mostWaits.Milliseconds() {
+			return a, errors.New("ttl")
+		}
+		a.Waits = time.Duration(ms) * time.Millisecond
+	}
+	a.HeldKB, err = strconv.ParseFloat(text("heap"), 64)
+	if err != nil || !(a.HeldKB > 0 && a.HeldKB < mostHeap) {
+		return a, errors.New("heap")
+	}
+	// Rank and router only steer: without them the task is the first to be kept away, of an unnamed router.
+	a.Rank, err = strconv.ParseFloat(text("crit"), 64)
+	if err != nil || !(a.Rank >= 0 && a.Rank < 1) {
+		a.Rank = 0
+	}
+	router, _ := strconv.ParseUint(text("src"), 10, 32)
+	a.Router, a.Came = uint32(router), came
+	a.Body = append([]byte(nil), body...)
+	return a, nil
+}
+
+// isCall tells whether a name is sixteen hexadecimal digits.
+func isCall(name string) bool {
+	for i := range len(name) {
+		if (name[i] < '0' || name[i] > '9') && (name[i] < 'a' || name[i] > 'f') {
+			return false
+		}
+	}
+	return len(name) == 16
+}
+
+// codes are the protocol's codes for verdicts.
+var codes = map[server.Verdict]byte{
+	server.Honoured:  frame.Served,
+	server.Dismissed: frame.Refused,
+	server.GivenUp:   frame.Failed,
+}
+
+// Answer puts the one answer to a request behind what waits to be written.
+func (c *conn) Answer(stream uint32, a server.Answer) {
+	delete(c.open, stream)
+	fields := withLevel(a.Level)
+	if a.ComeBack > 0 {
+		ms := (a.ComeBack + time.Millisecond - 1) / time.Millisecond
+		fields = append(fields, frame.Field{Name: "pushback", Value: strconv.FormatInt(int64(ms), 10)})
+	}
+	if a.NowhereElse {
+		fields = append(fields, frame.Field{Name: "stop", Value: "1"})
+	}
+	c.put(frame.Begin(nil, frame.Answer, stream, codes[a.Verdict], fields, len(a.Result)), a.Result)
+}
+
+// Checked answers a health check.
+func (c *conn) Checked(stream uint32, good bool, level string) {
+	code := byte(frame.Served)
+	if !good {
+		code = frame.Failed
+	}
+	c.put(frame.Begin(nil, frame.Checked, stream, code, withLevel(level), 0))
+}
+
+func withLevel(level string) []frame.Field {
+	if level == "" {
+		return nil
+	}
+	return []frame.Field{{Name: "load", Value: level}}
+}
+
+// retire asks the router to send nothing more here and to close once all is answered.
+func (c *conn) retire() {
+	if c.retired {
+		return
+	}
+	c.retired = true
+	c.last = c.front.server.Now()
+	c.put(retireFrame())
+}
+
+// fail tells of an error that belongs to no request and ends the connection. What was open on it has lost
+// its caller.
+func (c *conn) fail(why string) {
+	c.front.counts.Saw("connection closed: " + why)
+	c.put(frame.Begin(nil, frame.Answer, 0, frame.Failed, nil, len(why)), []byte(why))
+	c.flush()
+	c.close()
+}
+
+// put adds pieces to what waits for the peer. One that has not read for so long that its box, or the share of
+// memory that all boxes have, is full is cut off: waiting for it would cost all others.
+func (c *conn) put(pieces ...[]byte) {
+	if c.dead {
+		return
+	}
+	before := c.out.Size()
+	err := c.out.Add(pieces...)
+	c.front.waiting += c.out.Size() - before
+	if err != nil || c.front.waiting > c.front.bound {
+		c.front.counts.Saw("connection closed: peer does not read")
+		c.close()
+		return
+	}
+	if !c.dirty {
+		c.dirty = true
+		c.front.dirty = append(c.front.dirty, c)
+	}
+}
+
+// flush writes what the peer takes and tells whether that was all.
+func (c *conn) flush() (all bool) {
+	if c.dead {
+		return true
+	}
+	before := c.out.Size()
+	c.mu.Lock()
+	var err error
+	if !c.gone {
+		err = c.out.Flush(c.fd)
+	}
+	c.mu.Unlock()
+	c.front.waiting += c.out.Size() - before
+	if before > c.out.Size() {
+		c.last = c.front.server.Now()
+	}
+	if err != nil {
+		c.close()
+		return true
+	}
+	return c.out.Empty()
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,212 @@
+// Package front is the way in for routers: the listener and its connections, on netpoll.
+package front
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/frame"
+	"quartzpoint/internal/server"
+)
+
+const (
+	sparedSockets = 64 // descriptors that connections never take: link, reports, poller, log, runtime
+	soonFull      = 8  // from the last part of this size of the table on, the longest idle make room
+	sweepEvery    = 100 * time.Millisecond
+	retiredWait   = time.Second // for a router to close what it was asked to
+	outShare      = 8           // part of the program's memory, as a divisor, that unread answers may take
+)
+
+// frontKey finds the front of a connection in its context.
+type frontKey struct{}
+
+// netpoll reads these once its first poller runs, so its pages ask for them here.
+func init() {
+	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: runOnOwner, LoggerOutput: complaints{}})
+	if err != nil {
+		panic(fmt.Errorf("netpoll: %w", err))
+	}
+}
+
+// runOnOwner hands netpoll's callbacks to the owner of decisions, so that reading needs no locks and starts
+// nothing. They can't run on the poller itself: a connection closed there waits for the poller to let go of
+// it, for ever.
+func runOnOwner(ctx context.Context, callback func()) {
+	ctx.Value(frontKey{}).(*Front).server.Post(callback)
+}
+
+// complaints puts what netpoll logs into our log.
+type complaints struct{}
+
+func (complaints) Write(line []byte) (int, error) {
+	slog.Warn("netpoll", "said", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+// Front holds the connections of routers. All but the callbacks of netpoll belong to the owner of decisions.
+type Front struct {
+	server   *server.Server
+	counts   *check.Counts
+	log      *slog.Logger
+	listener netpoll.Listener
+	closing  atomic.Bool
+	loop     netpoll.EventLoop
+
+	taken   atomic.Int64 // connections, those being closed included
+	most    int64
+	conns   []*conn
+	dirty   []*conn
+	waiting int // bytes that peers have yet to read
+	bound   int
+	idle    time.Duration
+	swept   time.Duration
+	retired bool
+}
+
+// Listen takes the address for a front; connections come once it serves.
+func Listen(address string, s *server.Server, limits server.Limits, counts *check.Counts, log *slog.Logger) (
+	*Front, error,
+) {
+	listener, err := netpoll.CreateListener("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for routers: %w", err)
+	}
+	f := &Front{
+		server: s, counts: counts, log: log, listener: listener,
+		most:  int64(max(limits.Sockets-sparedSockets, limits.Sockets/2)),
+		bound: limits.MemoryMB << 20 / outShare,
+	}
+	f.loop, err = netpoll.NewEventLoop(read, netpoll.WithOnPrepare(f.prepare))
+	if err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	return f, nil
+}
+
+// Serve takes connections until the front is retired.
+func (f *Front) Serve() error {
+	if err := f.loop.Serve(f.listener); err != nil && !f.closing.Load() {
+		return fmt.Errorf("serving routers: %w", err)
+	}
+	return nil
+}
+
+// Address is where the front listens.
+func (f *Front) Address() string { return f.listener.Addr().String() }
+
+// prepare is netpoll's callback for a new connection, on the poller.
+func (f *Front) prepare(link netpoll.Connection) context.Context {
+	c := newConn(f, link)
+	if f.taken.Add(1) > f.most {
+		f.taken.Add(-1)
+		f.counts.Saw("connection refused, table full")
+		_ = link.Close() // nothing was read from it, so nothing ran
+		return context.Background()
+	}
+	_ = link.AddCloseCallback(c.ended)
+	f.server.Post(c.join)
+	return context.WithValue(context.WithValue(context.Background(), frontKey{}, f), connKey{}, c)
+}
+
+// joined books a connection. Near the end of the table the one that has been idle longest is asked to go.
+func (f *Front) joined(c *conn) {
+	f.conns = append(f.conns, c)
+	if f.retired {
+		c.retire()
+		return
+	}
+	if int64(len(f.conns)) <= f.most-f.most/soonFull {
+		return
+	}
+	var idlest *conn
+	for _, other := range f.conns {
+		if len(other.open) == 0 && !other.retired && (idlest == nil || other.last < idlest.last) {
+			idlest = other
+		}
+	}
+	if idlest != nil && idlest != c {
+		f.counts.Saw("connection closed to make room")
+		idlest.retire()
+	}
+}
+
+// left books that a connection is gone.
+func (f *Front) left(c *conn) {
+	f.taken.Add(-1)
+	for i, other := range f.conns {
+		if other == c {
+			f.conns[i] = f.conns[len(f.conns)-1]
+			f.conns[len(f.conns)-1] = nil
+			f.conns = f.conns[:len(f.conns)-1]
+			return
+		}
+	}
+}
+
+// Open is the number of connections.
+func (f *Front) Open() int { return len(f.conns) }
+
+// CloseIdle sets for how long a connection may carry nothing.
+func (f *Front) CloseIdle(span time.Duration) { f.idle = span }
+
+// Flush writes what was answered, and now and then looks for idle connections.
+func (f *Front) Flush() (written bool) {
+	if now := f.server.Now(); now >= f.swept+sweepEvery {
+		f.swept = now
+		f.sweep(now)
+	}
+	left := f.dirty[:0]
+	for _, c := range f.dirty {
+		if c.flush() {
+			c.dirty = false
+		} else {
+			left = append(left, c)
+		}
+	}
+	clear(f.dirty[len(left):])
+	f.dirty = left
+	return len(left) == 0
+}
+
+// sweep asks idle connections to go, and closes those that were asked and did not. Asking first means that no
+// request crosses the close; a router that does not heed it must not keep a descriptor.
+func (f *Front) sweep(now time.Duration) {
+	for i := len(f.conns) - 1; i >= 0; i-- {
+		c := f.conns[i]
+		switch {
+		case len(c.open) > 0:
+		case c.retired && now >= c.last+retiredWait && !f.retired:
+			c.close()
+		case f.idle > 0 && now >= c.last+f.idle && !c.retired:
+			c.retire()
+		}
+	}
+}
+
+// Retire closes the listener and asks all routers to send nothing more on their connections.
+func (f *Front) Retire() {
+	if f.retired {
+		return
+	}
+	f.retired = true
+	// Shut down rather than closed: netpoll's Close closes one descriptor twice, and the second time it may
+	// be that of a connection just taken.
+	f.closing.Store(true)
+	if err := unix.Shutdown(f.listener.Fd(), unix.SHUT_RD); err != nil {
+		f.log.Warn("closing the listener", "error", err)
+	}
+	for _, c := range f.conns {
+		c.retire()
+	}
+}
+
+// retireFrame is the whole of the frame that asks for no new request.
+func retireFrame() []byte { return frame.Begin(nil, frame.Close, 0, 0, nil, 0) }
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,332 @@
+// Package pool holds the link to the worker pool: commands out, notices in, and the link bound anew whenever
+// it is lost.
+package pool
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"quartzpoint/internal/outbox"
+)
+
+const (
+	mostLine    = 64 << 10 // a result of 4 KiB takes 6 KiB; longer lines are nothing the pool would say
+	mostNotices = 4096     // read ahead of the owner of decisions; then the pool waits
+	firstWait   = 10 * time.Millisecond
+	mostWait    = 500 * time.Millisecond
+	dialWait    = time.Second
+)
+
+// Kind says what a notice tells.
+type Kind int
+
+// The kinds of notices. Synced says that all the pool had to tell from before the link was bound has been
+// read, so that what is still unknown then never came to it.
+const (
+	Down Kind = iota
+	Synced
+	Finished
+	Polled
+	Verified
+	Unknown
+)
+
+// Notice is one thing the pool, or the state of its link, tells.
+type Notice struct {
+	Kind     Kind
+	Task     string
+	Outcome  string // how a run or a check ended, or the command that was not carried out
+	Took     time.Duration
+	Result   []byte
+	Nonce    uint64
+	Readings []float64
+}
+
+// line is a notice as the pool writes it.
+type line struct {
+	Verb     string    `json:"verb"`
+	Index    uint64    `json:"index"`
+	Task     string    `json:"task"`
+	Outcome  string    `json:"outcome"`
+	Spent    float64   `json:"spent"`
+	Nonce    string    `json:"nonce"`
+	Readings []float64 `json:"readings"`
+	Bytes    []byte    `json:"bytes"`
+}
+
+// Link is the connection to the worker pool. Run keeps it up; all else is called by the one owner of
+// decisions and never waits for the pool.
+type Link struct {
+	address string
+	bound   int
+	log     *slog.Logger
+	saw     func(what string)
+	wake    func()
+
+	mu     sync.Mutex
+	taken  sync.Cond // the owner took what had been read
+	socket *net.TCPConn
+	raw    syscall.RawConn
+	out    *outbox.Box
+	synced bool
+	syncAt uint64 // nonce of the poll behind the bind
+	nonce  uint64 // of the last poll
+	read   uint64 // number of the last notice read
+	inbox  []Notice
+}
+
+// New makes a link to a pool's address that holds at most bound bytes of commands. It calls wake when there
+// are notices to take, and saw for what is to be counted.
+func New(address string, bound int, log *slog.Logger, saw func(string), wake func()) *Link {
+	l := &Link{address: address, bound: bound, log: log, saw: saw, wake: wake}
+	l.taken.L = &l.mu
+	return l
+}
+
+// Run dials, binds and reads until the context ends. A pool that is not there yet, or any more, is asked
+// again in growing spans, as a loop of refused connections would cost cores that requests need.
+func (l *Link) Run(ctx context.Context) {
+	defer context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.socket != nil {
+			l.socket.Close()
+		}
+		l.taken.Broadcast()
+	})()
+	dialer := net.Dialer{Timeout: dialWait}
+	wait := firstWait
+	for ctx.Err() == nil {
+		c, err := dialer.DialContext(ctx, "tcp", l.address)
+		if err == nil {
+			wait = firstWait
+			err = l.serve(ctx, c.(*net.TCPConn))
+			l.drop()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		l.saw("pool link lost or refused")
+		l.log.Warn("pool link down", "error", err, "again_in", wait)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, mostWait)
+	}
+}
+
+// serve binds a new link and reads it to its end.
+func (l *Link) serve(ctx context.Context, socket *net.TCPConn) error {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("descriptor of the link: %w", err)
+	}
+	l.mu.Lock()
+	l.socket, l.raw, l.out = socket, raw, outbox.New(l.bound)
+	bind := append(strconv.AppendUint([]byte(`{"verb":"bind","index":`), l.read, 10), "}\n"...)
+	err = l.out.Add(bind)
+	l.syncAt = l.poll()
+	l.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	l.Flush()
+	in := bufio.NewReaderSize(socket, mostLine)
+	for {
+		text, err := in.ReadSlice('\n')
+		if err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+		var told line
+		if err := json.Unmarshal(text, &told); err != nil {
+			l.saw("pool line that is no notice")
+			return fmt.Errorf("a line that is no notice: %w", err)
+		}
+		ahead, _ := in.Peek(in.Buffered())
+		if err := l.file(ctx, &told, bytes.IndexByte(ahead, '\n') < 0); err != nil {
+			return err
+		}
+	}
+}
+
+// file puts a line's notice into the inbox and wakes the owner behind the last one at hand.
+func (l *Link) file(ctx context.Context, told *line, last bool) error {
+	l.mu.Lock()
+	for len(l.inbox) >= mostNotices && ctx.Err() == nil {
+		l.wake()
+		l.taken.Wait()
+	}
+	err := l.sort(told)
+	waiting := len(l.inbox) > 0
+	l.mu.Unlock()
+	if last && waiting {
+		l.wake()
+	}
+	return err
+}
+
+func (l *Link) sort(told *line) error {
+	if told.Index > 0 {
+		if told.Index <= l.read {
+			l.saw("pool notice told again")
+			return nil
+		}
+		if told.Index > l.read+1 {
+			l.saw("pool notices missed")
+		}
+		l.read = told.Index
+	}
+	n := Notice{Task: told.Task, Outcome: told.Outcome}
+	switch told.Verb {
+	case "bound":
+		l.log.Info("pool link bound", "pool", told.Outcome, "up_ms", told.Spent, "after_notice", l.read)
+		return nil
+	case "finished":
+		n.Kind, n.Result = Finished, told.Bytes
+		n.Took = time.Duration(told.Spent * float64(time.Millisecond))
+	case "polled", "verified":
+		nonce, err := strconv.ParseUint(told.Nonce, 10, 64)
+		if err != nil {
+			return fmt.Errorf("nonce of %s: %w", told.Verb, err)
+		}
+		n.Kind, n.Nonce, n.Readings = Polled, nonce, told.Readings
+		if told.Verb == "verified" {
+			n.Kind = Verified
+		} else if nonce == l.syncAt {
+			l.synced = true
+			l.inbox = append(l.inbox, Notice{Kind: Synced})
+		}
+	case "unknown":
+		n.Kind = Unknown
+	default:
+		return nil // remarks, and whatever a later pool may say beside these
+	}
+	l.inbox = append(l.inbox, n)
+	return nil
+}
+
+// drop forgets a link that has ended and tells the owner.
+func (l *Link) drop() {
+	l.mu.Lock()
+	l.socket.Close()
+	l.socket, l.raw, l.out, l.synced = nil, nil, nil, false
+	l.inbox = append(l.inbox, Notice{Kind: Down})
+	l.mu.Unlock()
+	l.wake()
+}
+
+// Take moves all notices read since the last call behind into.
+func (l *Link) Take(into []Notice) []Notice {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	into = append(into, l.inbox...)
+	clear(l.inbox)
+	l.inbox = l.inbox[:0]
+	l.taken.Broadcast()
+	return into
+}
+
+// Next is the nonce that the next poll will carry. Once that is answered, the pool has read all commands
+// given before it.
+func (l *Link) Next() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nonce + 1
+}
+
+// Spawn asks the pool to run a task. It tells whether a link took the command; the same holds below.
+func (l *Link) Spawn(task, handler string, body []byte) bool {
+	text := append(quoted(append(quoted([]byte(`{"verb":"spawn","task":`), task), `,"handler":`...), handler), `,"bytes":"`...)
+	text = base64.StdEncoding.AppendEncode(text, body)
+	return l.send(append(text, "\"}\n"...))
+}
+
+// Suspend stops a run in the way that the settings name.
+func (l *Link) Suspend(task string) bool {
+	return l.send(append(quoted([]byte(`{"verb":"suspend","task":`), task), "}\n"...))
+}
+
+// Proceed lets a stopped run go on.
+func (l *Link) Proceed(task string) bool {
+	return l.send(append(quoted([]byte(`{"verb":"proceed","task":`), task), "}\n"...))
+}
+
+// Poll asks for the gauges.
+func (l *Link) Poll() (nonce uint64, sent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.synced {
+		return 0, false
+	}
+	return l.poll(), true
+}
+
+func (l *Link) poll() uint64 {
+	l.nonce++
+	l.put(fmt.Appendf(nil, "{\"verb\":\"poll\",\"nonce\":\"%d\"}\n", l.nonce))
+	return l.nonce
+}
+
+// Verify asks for the work of a deep check.
+func (l *Link) Verify(nonce uint64) bool {
+	return l.send(fmt.Appendf(nil, "{\"verb\":\"verify\",\"nonce\":\"%d\"}\n", nonce))
+}
+
+func (l *Link) send(text []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.synced && l.put(text)
+}
+
+// put adds a command. A pool that reads none for so long that the box is full loses its link; what it had
+// not read is sorted out once it is bound again.
+func (l *Link) put(text []byte) bool {
+	err := l.out.Add(text)
+	if err != nil {
+		l.synced = false
+		l.socket.Close()
+	}
+	return err == nil
+}
+
+// Flush writes what waits, as far as the pool reads.
+func (l *Link) Flush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out == nil || l.out.Empty() {
+		return
+	}
+	var failed error
+	err := l.raw.Write(func(fd uintptr) bool {
+		failed = l.out.Flush(int(fd))
+		return true // what the socket does not take now waits for the next round
+	})
+	if err != nil || failed != nil {
+		l.synced = false
+		l.socket.Close()
+	}
+}
+
+// quoted appends a JSON string.
+func quoted(to []byte, text string) []byte {
+	plain := true
+	for i := range len(text) {
+		plain = plain && text[i] >= ' ' && text[i] < 0x7f && text[i] != '"' && text[i] != '\\'
+	}
+	if plain {
+		return append(append(append(to, '"'), text...), '"')
+	}
+	escaped, _ := json.Marshal(text) // a string always has a form
+	return append(to, escaped...)
+}
