Ask the pool for the sync poll only once it has answered the bind

Its log had the line 'pool knows nothing of: poll' and then 'pool link bound', and no task was ever spawned again.

Cause: serve in internal/pool wrote the poll that marks the end of the replay right behind the bind. A worker pool that comes up after the server answers the bind late and refuses what came before it, so the poll's answer, which makes the link usable, never came. Ruled out: the refused connection itself (bound came on the same link) and the module (it started tasks, none reached the pool).

Now the poll goes out when 'bound' is read, and every alarm asks again until it is answered. The stand-in pool refuses commands before the bind as the real one does, and a test holds the pool back. The first round now comes before any health check is answered, found by the same tests.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -78,8 +78,9 @@
 	socket *net.TCPConn
 	raw    syscall.RawConn
 	out    *outbox.Box
-	synced bool
-	syncAt uint64 // nonce of the poll behind the bind
+	known  bool   // the pool has answered the bind
+	synced bool   // and a poll behind that
+	syncAt uint64 // nonce of the first such poll
 	nonce  uint64 // of the last poll
 	read   uint64 // number of the last notice read
 	inbox  []Notice
@@ -139,7 +140,6 @@
 	l.socket, l.raw, l.out = socket, raw, outbox.New(l.bound)
 	bind := append(strconv.AppendUint([]byte(`{"verb":"bind","index":`), l.read, 10), "}\n"...)
 	err = l.out.Add(bind)
-	l.syncAt = l.poll()
 	l.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("bind: %w", err)
@@ -160,6 +160,9 @@
 		if err := l.file(ctx, &told, bytes.IndexByte(ahead, '\n') < 0); err != nil {
 			return err
 		}
+		if told.Verb == "bound" {
+			l.Flush()
+		}
 	}
 }
 
@@ -193,6 +196,9 @@
 	n := Notice{Task: told.Task, Outcome: told.Outcome}
 	switch told.Verb {
 	case "bound":
+		// Only now: a pool that is not up yet answers the bind late and takes no other command before.
+		l.known = true
+		l.syncAt = l.poll()
 		l.log.Info("pool link bound", "pool", told.Outcome, "up_ms", told.Spent, "after_notice", l.read)
 		return nil
 	case "finished":
@@ -206,7 +212,7 @@
 		n.Kind, n.Nonce, n.Readings = Polled, nonce, told.Readings
 		if told.Verb == "verified" {
 			n.Kind = Verified
-		} else if nonce == l.syncAt {
+		} else if l.known && !l.synced && nonce >= l.syncAt {
 			l.synced = true
 			l.inbox = append(l.inbox, Notice{Kind: Synced})
 		}
@@ -223,7 +229,7 @@
 func (l *Link) drop() {
 	l.mu.Lock()
 	l.socket.Close()
-	l.socket, l.raw, l.out, l.synced = nil, nil, nil, false
+	l.socket, l.raw, l.out, l.known, l.synced = nil, nil, nil, false, false
 	l.inbox = append(l.inbox, Notice{Kind: Down})
 	l.mu.Unlock()
 	l.wake()
@@ -269,10 +275,10 @@
 func (l *Link) Poll() (nonce uint64, sent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.synced {
+	if !l.known {
 		return 0, false
 	}
-	return l.poll(), true
+	return l.poll(), l.synced // before, it is asked again in case the first was not answered
 }
 
 func (l *Link) poll() uint64 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -98,6 +98,18 @@
 	assert.Equal(t, uint64(4), b.next(t, Verified).Nonce)
 }
 
+// A pool that came up long after the server had refused the one poll sent before it was up, and its link was
+// never taken to be usable: no task ran from a crash to the end of the day.
+func TestPoolLate(t *testing.T) {
+	b := newBench(t)
+	b.pool.Next(t, "bind")
+	_, sent := b.Poll()
+	assert.False(t, sent)
+	b.Flush()
+	b.synced(t)
+	assert.Zero(t, b.counts.Times("pool link lost or refused"))
+}
+
 func TestReplayAfterALostLink(t *testing.T) {
 	b := newBench(t).synced(t)
 	b.pool.Next(t, "bind")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -218,7 +218,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var batch []func()
-	s.touched = true // the first round is empty and lets the module state its health and set its alarm
+	s.decide(s.Now()) // the first round is empty and lets the module state its health and set its alarm
 	for {
 		for again := true; again; {
 			s.mu.Lock()
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,326 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/pool"
+	"quartzpoint/internal/standin"
+	"quartzpoint/internal/terms"
+)
+
+// answered is what a caller was told on a stream.
+type answered struct {
+	stream uint32
+	Answer
+}
+
+// bench is a server with a stand-in pool and a front that only keeps what it is told.
+type bench struct {
+	*Server
+	pool    *standin.Pool
+	counts  *check.Counts
+	answers chan answered
+	checks  chan bool
+	left    chan struct{}
+	retired bool
+}
+
+func (b *bench) Answer(stream uint32, a Answer)        { b.answers <- answered{stream, a} }
+func (b *bench) Checked(_ uint32, good bool, _ string) { b.checks <- good }
+func (b *bench) CloseIdle(time.Duration)               {}
+func (b *bench) Flush() bool                           { return true }
+func (b *bench) Retire()                               { b.retired = true }
+func (b *bench) Open() int                             { return 0 }
+
+func newBench(t *testing.T) *bench {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	told, err := terms.FromJSON([]byte(standin.Settings))
+	require.NoError(t, err)
+	b := &bench{
+		pool: standin.NewPool(t), counts: check.New(log), left: make(chan struct{}),
+		answers: make(chan answered, 100), checks: make(chan bool, 100),
+	}
+	b.Server, err = New(told, 1, Limits{MemoryMB: 96, Sockets: 256}, b.counts, log)
+	require.NoError(t, err)
+	link := pool.New(b.pool.Address, 1<<20, log, b.counts.Saw, b.Nudge)
+	b.Serve(link, b)
+	ctx, cancel := context.WithCancel(context.Background())
+	go link.Run(ctx)
+	go func() { b.Run(); close(b.left) }()
+	t.Cleanup(func() {
+		b.Post(func() { b.Leave(0) })
+		select {
+		case <-b.left:
+		case <-time.After(standin.Patience):
+			t.Error("the server does not leave")
+		}
+		cancel()
+	})
+	return b
+}
+
+// ask has the owner take a task.
+func (b *bench) ask(stream uint32, kind string, waits time.Duration) {
+	b.Post(func() {
+		b.Take(Asked{
+			ID: standin.Call(stream), Type: kind, HeldKB: 20, Rank: 0.9, Came: time.Now().UnixMilli(), Waits: waits,
+			Body: fmt.Appendf(nil, "body %d", stream), Caller: b, Stream: stream,
+		})
+	})
+}
+
+func (b *bench) next(t *testing.T) answered {
+	t.Helper()
+	select {
+	case a := <-b.answers:
+		return a
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "no answer")
+		return answered{}
+	}
+}
+
+// bound waits until the link is up and commands are taken.
+func (b *bench) bound(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		bound := make(chan bool)
+		b.Post(func() { bound <- b.polled > 0 })
+		return <-bound
+	}, standin.Patience, time.Millisecond)
+}
+
+// known waits until the pool has read all that was sent and the server knows it.
+func (b *bench) known(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		known := make(chan bool)
+		b.Post(func() {
+			all := true
+			for _, task := range b.tasks {
+				all = all && (!task.active || task.sent && task.mark <= b.polled)
+			}
+			known <- all
+		})
+		return <-known
+	}, standin.Patience, time.Millisecond)
+}
+
+func TestTaskIsServed(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.ask(1, "pay", time.Second)
+	spawn := b.pool.Next(t, "spawn")
+	assert.Equal(t, "body 1", string(spawn.Body))
+	assert.Equal(t, "pay", spawn.Handler)
+	b.pool.Finish(spawn.Task, "success", []byte("done"))
+	got := b.next(t)
+	assert.Equal(t, answered{1, Answer{Verdict: Honoured, Result: []byte("done")}}, got)
+
+	b.ask(2, "pay", time.Second)
+	b.pool.Finish(b.pool.Next(t, "spawn").Task, "failure", nil)
+	assert.Equal(t, GivenUp, b.next(t).Verdict)
+}
+
+func TestNotUnderstoodIsDismissed(t *testing.T) {
+	b := newBench(t)
+	b.ask(1, "unheard-of", time.Second)
+	b.ask(2, "pay", 0)
+	for range 2 {
+		assert.Equal(t, Dismissed, b.next(t).Verdict)
+	}
+	b.ask(3, "pay", time.Minute)
+	b.ask(3, "pay", time.Minute)
+	assert.Equal(t, Dismissed, b.next(t).Verdict, "a call that is known was taken again")
+}
+
+// The due answer must not hang on the pool: neither one that is not there nor one that tells no gauges.
+func TestDueAnswersWithoutThePool(t *testing.T) {
+	for _, mute := range []bool{false, true} {
+		b := newBench(t)
+		b.pool.Mute = mute
+		if mute {
+			b.pool.Ready()
+		}
+		begin := time.Now()
+		b.ask(1, "pay", 300*time.Millisecond)
+		got := b.next(t)
+		assert.Contains(t, []Verdict{Dismissed, GivenUp}, got.Verdict)
+		assert.Less(t, time.Since(begin), 2*time.Second)
+	}
+}
+
+// What came late, or from a clock that is ahead, is answered like any other.
+func TestArrivalFollowsTheSystemClock(t *testing.T) {
+	b := newBench(t)
+	now := b.Now()
+	assert.InDelta(t, float64(now-2*time.Second), float64(b.at(time.Now().UnixMilli()-2000, now)), 5e6)
+	assert.Equal(t, now, b.at(time.Now().UnixMilli()+2000, now))
+}
+
+// What the pool may or may not have read when its link broke is sent again only where that can't run twice.
+func TestLinkLost(t *testing.T) {
+	cases := []struct {
+		name, kind string
+		mute       bool // no poll is answered, so nothing shows that the pool read the command
+		ended      bool // while no link was there
+		want       Verdict
+		spawned    bool // a second time
+	}{
+		{"known to run", "pay", false, false, Honoured, false},
+		{"ended without a link", "pay", false, true, Honoured, false},
+		{"unsure and ended without a link", "pay", true, true, Honoured, false},
+		{"unsure, at most once", "pay", true, false, GivenUp, false},
+		{"unsure, reissuable", "browse", true, false, Honoured, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.pool.Ready()
+			b.pool.Next(t, "bind")
+			b.bound(t)
+			if !c.mute {
+				b.ask(1, c.kind, time.Minute)
+				b.pool.Next(t, "spawn")
+				b.known(t)
+			} else {
+				// The pool reads the command and tells nothing more on this link.
+				b.pool.Silence(true)
+				b.ask(1, c.kind, time.Minute)
+				b.pool.Next(t, "spawn")
+			}
+			b.pool.Cut()
+			if c.ended {
+				b.pool.Finish(standin.Call(1), "success", []byte("done"))
+			}
+			b.pool.Silence(false)
+			b.pool.Next(t, "bind")
+			if c.spawned {
+				b.pool.Next(t, "spawn")
+			}
+			if !c.ended && c.want == Honoured {
+				b.pool.Finish(standin.Call(1), "success", []byte("done"))
+			}
+			assert.Equal(t, c.want, b.next(t).Verdict)
+			for len(b.pool.Commands) > 0 {
+				assert.NotEqual(t, "spawn", (<-b.pool.Commands).Verb, "the run was begun once more")
+			}
+		})
+	}
+}
+
+func TestPoolKnowsNothing(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.ask(1, "pay", time.Minute)
+	task := b.pool.Next(t, "spawn").Task
+	b.pool.Say(`{"verb":"unknown","outcome":"suspend","task":"` + task + `"}` + "\n")
+	b.pool.Say(`{"verb":"unknown","outcome":"spawn","task":"nobody"}` + "\n")
+	b.pool.Say(`{"verb":"unknown","outcome":"spawn","task":"` + task + `"}` + "\n")
+	assert.Equal(t, GivenUp, b.next(t).Verdict)
+	assert.Equal(t, 2, b.counts.Times("pool knows nothing of: spawn"))
+}
+
+func TestCallerGone(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	var task *Task
+	b.Post(func() {
+		task = b.Take(Asked{ID: "x", Type: "browse", HeldKB: 1, Came: time.Now().UnixMilli(), Waits: time.Minute, Caller: b})
+	})
+	b.pool.Next(t, "spawn")
+	b.Post(func() { b.Gone(task); b.Gone(task) })
+	b.pool.Next(t, "suspend")
+	require.Eventually(t, func() bool {
+		empty := make(chan bool)
+		b.Post(func() { empty <- len(b.tasks) == 0 && len(b.owner) == 0 })
+		return <-empty
+	}, standin.Patience, time.Millisecond, "a settled task is kept")
+	assert.Empty(t, b.answers)
+}
+
+func TestHealth(t *testing.T) {
+	b := newBench(t)
+	b.Post(func() { b.Check(b, 1, true) })
+	assert.True(t, <-b.checks)
+	b.Post(func() { b.Health(true, false); b.Check(b, 1, true) })
+	assert.False(t, <-b.checks, "a deep check was good without a pool")
+	b.pool.Ready()
+	b.bound(t)
+	for _, outcome := range []string{"success", "failure"} {
+		var sent bool
+		for !sent { // until the link is bound
+			done := make(chan struct{})
+			b.Post(func() { b.Check(b, 1, true); sent = len(b.Server.checks) > 0; close(done) })
+			<-done
+			if !sent {
+				assert.False(t, <-b.checks)
+			}
+		}
+		b.pool.Say(`{"verb":"verified","nonce":"` + b.pool.Next(t, "verify").Nonce + `","outcome":"` + outcome + `"}` + "\n")
+		assert.Equal(t, outcome == "success", <-b.checks)
+	}
+	b.Post(func() { b.Check(b, 1, true) })
+	assert.False(t, <-b.checks, "a deep check without an answer is a bad one in time")
+}
+
+func TestLeaving(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.ask(1, "pay", time.Minute)
+	b.pool.Next(t, "spawn")
+	b.Post(func() { b.Leave(6 * time.Second) })
+	b.ask(2, "pay", time.Minute) // within the grace of 400 ms
+	b.pool.Next(t, "spawn")
+	require.Eventually(t, func() bool {
+		retired := make(chan bool)
+		b.Post(func() { retired <- b.retired && b.Now() > b.noticed+450*time.Millisecond })
+		return <-retired
+	}, standin.Patience, time.Millisecond)
+	b.ask(3, "pay", time.Minute) // past it
+	got := b.next(t)
+	assert.Equal(t, []any{uint32(3), Dismissed}, []any{got.stream, got.Verdict})
+	for stream := range uint32(2) {
+		b.pool.Finish(standin.Call(stream+1), "success", nil)
+		assert.Equal(t, Honoured, b.next(t).Verdict)
+	}
+	<-b.left
+}
+
+// At the stop all that was read has its answer, whatever it waits for.
+func TestStopAnswersAll(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	for stream := range uint32(40) {
+		b.ask(stream, "pay", time.Minute)
+	}
+	b.pool.Next(t, "spawn")
+	b.Post(func() { b.Leave(500 * time.Millisecond) })
+	<-b.left
+	assert.Len(t, b.answers, 40)
+}
+
+func TestTermsItCantServe(t *testing.T) {
+	cases := map[string][2]string{
+		"is numbered":        {`"retryable"`, `"dedup"`},
+		"calls a dependency": {`[false,false],`, `[false,true],`},
+		"customers":          {`"tenants":[]`, `"tenants":[{"quota-rps":1}]`},
+		"no traffic type":    {`"name":`, `"title":`},
+	}
+	for want, change := range cases {
+		told, err := terms.FromJSON([]byte(strings.ReplaceAll(standin.Settings, change[0], change[1])))
+		require.NoError(t, err)
+		_, err = New(told, 1, Limits{96, 256}, nil, nil)
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -36,7 +36,7 @@
 type Pool struct {
 	Address  string
 	Echo     bool // runs end at once with their body as the result
-	Mute     bool // gauges are not told
+	Mute     bool // gauges are not told on any link
 	Commands chan Command
 
 	mu       sync.Mutex
@@ -44,6 +44,7 @@
 	link     net.Conn
 	notices  []string
 	running  map[string]bool
+	silent   bool
 	ready    chan struct{}
 }
 
@@ -82,16 +83,16 @@
 		}
 		if c.Verb == "bind" {
 			p.Commands <- c
-			<-p.ready
+			go p.bind(link, c.Index)
+			continue
 		}
 		p.mu.Lock()
+		if p.link != link { // not bound yet, or not any more
+			fmt.Fprintf(link, "{\"verb\":\"unknown\",\"outcome\":%q}\n", c.Verb)
+			p.mu.Unlock()
+			continue
+		}
 		switch c.Verb {
-		case "bind":
-			p.link = link
-			fmt.Fprintf(link, "{\"verb\":\"bound\",\"outcome\":\"steady\",\"spent\":12}\n")
-			for _, n := range p.notices[c.Index:] {
-				io.WriteString(link, n)
-			}
 		case "spawn":
 			p.running[c.Task] = true
 			if p.Echo {
@@ -102,17 +103,29 @@
 				p.end(c.Task, "interrupted", nil)
 			}
 		case "poll":
-			if !p.Mute {
+			if !p.Mute && !p.silent {
 				fmt.Fprintf(link, `{"verb":"polled","nonce":%q,"readings":[0.2,%d,0.1,3]}`+"\n", c.Nonce, len(p.running))
 			}
 		}
 		p.mu.Unlock()
-		if c.Verb != "poll" && c.Verb != "bind" {
+		if c.Verb != "poll" {
 			p.Commands <- c
 		}
 	}
 }
 
+// bind answers once the pool is up and tells all notices after one.
+func (p *Pool) bind(link net.Conn, after int) {
+	<-p.ready
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = link
+	fmt.Fprintf(link, "{\"verb\":\"bound\",\"outcome\":\"steady\",\"spent\":12}\n")
+	for _, n := range p.notices[after:] {
+		io.WriteString(link, n)
+	}
+}
+
 // end numbers and tells the end of a run.
 func (p *Pool) end(task, outcome string, result []byte) {
 	delete(p.running, task)
@@ -139,6 +152,13 @@
 	io.WriteString(p.link, text)
 }
 
+// Silence has the pool tell no gauges for a while.
+func (p *Pool) Silence(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = on
+}
+
 // Cut ends the link. Runs go on.
 func (p *Pool) Cut() {
 	p.mu.Lock()
