Test the front over sockets: split, broken, refused, idle and unread connections

Each kind of bad input named in the issues, a peer that does not read, a full table and idle connections, against a stand-in pool and router.

--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,229 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/frame"
+	"quartzpoint/internal/pool"
+	"quartzpoint/internal/server"
+	"quartzpoint/internal/standin"
+	"quartzpoint/internal/terms"
+)
+
+// bench is a front with a server behind it and a stand-in pool behind that.
+type bench struct {
+	*Front
+	pool *standin.Pool
+}
+
+func newBench(t *testing.T, limits server.Limits) *bench {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	told, err := terms.FromJSON([]byte(standin.Settings))
+	require.NoError(t, err)
+	counts := check.New(log)
+	owner, err := server.New(told, 1, limits, counts, log)
+	require.NoError(t, err)
+	b := &bench{pool: standin.NewPool(t).Ready()}
+	b.Front, err = Listen("127.0.0.1:0", owner, limits, counts, log)
+	require.NoError(t, err)
+	link := pool.New(b.pool.Address, 1<<20, log, counts.Saw, owner.Nudge)
+	owner.Serve(link, b.Front)
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go link.Run(ctx)
+	go func() { _ = b.Serve() }()
+	go func() { owner.Run(); close(left) }()
+	t.Cleanup(func() {
+		owner.Post(func() { owner.Leave(0) })
+		select {
+		case <-left:
+		case <-time.After(standin.Patience):
+			t.Error("the server does not leave")
+		}
+		cancel()
+	})
+	return b
+}
+
+func usual() server.Limits { return server.Limits{MemoryMB: 96, Sockets: 256} }
+
+// counted waits until something was counted.
+func (b *bench) counted(t *testing.T, what string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return b.counts.Times(what) > 0 }, standin.Patience, time.Millisecond, what)
+}
+
+func TestRequestsSplitAtEveryByte(t *testing.T) {
+	b := newBench(t, usual())
+	b.pool.Echo = true
+	router := standin.Dial(t, b.Address())
+	body := "\x00\xffbody\n"
+	for at := range standin.Request(1, "browse", body) {
+		stream := uint32(at + 1)
+		request := standin.Request(stream, "browse", body)
+		router.Send(t, request[:at])
+		// A check on another connection is answered, so the first part has been read by then.
+		other := standin.Dial(t, b.Address())
+		other.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+		assert.Equal(t, byte(20), other.Next(t).Code)
+		other.Close()
+		router.Send(t, request[at:])
+		got := router.Next(t)
+		assert.Equal(t, []any{byte(11), stream, byte(20), body}, []any{got.Type, got.Stream, got.Code, got.Body})
+	}
+}
+
+func TestAnswersInAnyOrder(t *testing.T) {
+	b := newBench(t, usual())
+	router := standin.Dial(t, b.Address())
+	for stream := range uint32(3) {
+		router.Send(t, standin.Request(stream+1, "pay", ""))
+		b.pool.Next(t, "spawn")
+	}
+	for _, stream := range []uint32{2, 3, 1} {
+		result := strings.Repeat(strconv.Itoa(int(stream)), 4<<10)
+		b.pool.Finish(standin.Call(stream), "success", []byte(result))
+		got := router.Next(t)
+		assert.Equal(t, stream, got.Stream)
+		assert.Equal(t, result, got.Body)
+	}
+}
+
+// What breaks the framing ends its connection and no other.
+func TestBrokenConnections(t *testing.T) {
+	good := standin.Request(1, "pay", "")
+	cut := standin.Request(1, "pay", "")
+	cut[9] = 200 // more fields than there are
+	var many []byte
+	for stream := range uint32(mostOpen + 1) {
+		many = append(many, standin.Request(stream+1, "pay", "")...)
+	}
+	cases := map[string]struct {
+		bytes []byte
+		want  string
+	}{
+		"short length":  {[]byte{0, 0, 0, 4, 10}, "length out of bounds: 4"},
+		"huge length":   {[]byte{0, 4, 0, 1}, "length out of bounds: 262145"},
+		"unknown type":  {standin.Frame(12, 1, ""), "unknown frame type 12"},
+		"cut fields":    {cut, "field list cut short"},
+		"cut check":     {[]byte{0, 0, 0, 6, 20, 0, 0, 0, 1, 9}, "field list cut short"},
+		"stream 0":      {standin.Request(0, "pay", ""), "stream in use"},
+		"stream in use": {append(good, standin.Request(1, "pay", "", "call", standin.Call(9))...), "stream in use"},
+		"too many open": {many, "too many open requests"},
+	}
+	b := newBench(t, usual())
+	bystander := standin.Dial(t, b.Address())
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			router := standin.Dial(t, b.Address())
+			router.Send(t, c.bytes)
+			got := router.Next(t)
+			for ; got.Stream != 0; got = router.Next(t) {
+			}
+			assert.Equal(t, []any{byte(11), byte(51), c.want}, []any{got.Type, got.Code, got.Body})
+			router.Closed(t)
+			bystander.Send(t, standin.Frame(20, 7, "", "e2e", "1"))
+			assert.Equal(t, standin.Reply{Type: 21, Stream: 7, Code: 20, Fields: map[string]string{}}, bystander.Next(t))
+		})
+	}
+}
+
+// A whole request that can't be understood is refused at once and never runs; its connection goes on.
+func TestRefusedRequests(t *testing.T) {
+	b := newBench(t, usual())
+	router := standin.Dial(t, b.Address())
+	now := time.Now()
+	cases := [][]string{
+		{"op", "unheard-of"}, {"call", "9b1f"}, {"call", "9b1f03aa5c7e2d4G"}, {"recv", ""}, {"recv", "soon"},
+		{"recv", strconv.FormatInt(now.Add(-time.Hour).UnixMilli(), 10)},
+		{"recv", strconv.FormatInt(now.Add(time.Hour).UnixMilli(), 10)},
+		{"ttl", ""}, {"ttl", "0"}, {"ttl", "-5"}, {"ttl", "99999999999"},
+		{"heap", ""}, {"heap", "0"}, {"heap", "2000"}, {"heap", "NaN"}, {"heap", "-1"},
+	}
+	for i, fields := range cases {
+		router.Send(t, standin.Request(uint32(i+1), "pay", "", fields...))
+		got := router.Next(t)
+		assert.Equal(t, []any{uint32(i + 1), byte(50)}, []any{got.Stream, got.Code}, "%v", fields)
+	}
+	router.Send(t, standin.Request(100, "pay", strings.Repeat("x", mostBody+1)))
+	assert.Equal(t, byte(50), router.Next(t).Code, "a body that is too long")
+	router.Send(t, standin.Frame(10, 101, strings.Repeat("x", 3*frame.MostWhole), "op", "pay"))
+	assert.Equal(t, byte(50), router.Next(t).Code, "a frame that is too long")
+	router.Send(t, standin.Request(102, "pay", "after it"))
+	assert.Equal(t, "after it", string(b.pool.Next(t, "spawn").Body), "something else ran, or the frame's rest was read")
+}
+
+func TestCallerGone(t *testing.T) {
+	b := newBench(t, usual())
+	router := standin.Dial(t, b.Address())
+	router.Send(t, standin.Request(1, "browse", ""))
+	b.pool.Next(t, "spawn")
+	router.Close()
+	assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
+}
+
+// A router that does not read is cut off at a bound, and answers to others wait neither before nor after.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	b := newBench(t, usual())
+	b.pool.Echo = true
+	deaf, other := standin.Dial(t, b.Address()), standin.Dial(t, b.Address())
+	checks := bytes.Repeat(standin.Frame(20, 1, "", "e2e", "0"), 1000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			if _, err := deaf.Write(checks); err != nil {
+				return
+			}
+		}
+	}()
+	for stream := uint32(1); b.counts.Times("connection closed: peer does not read") == 0; stream++ {
+		begin := time.Now()
+		other.Send(t, standin.Request(stream, "browse", fmt.Sprint(stream)))
+		assert.Equal(t, fmt.Sprint(stream), other.Next(t).Body)
+		assert.Less(t, time.Since(begin), standin.Patience/4)
+	}
+	<-done
+}
+
+func TestTableFull(t *testing.T) {
+	limits := server.Limits{MemoryMB: 96, Sockets: 40}
+	b := newBench(t, limits)
+	var routers []*standin.Router
+	for range limits.Sockets / 2 {
+		r := standin.Dial(t, b.Address())
+		r.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+		routers = append(routers, r)
+	}
+	beyond := standin.Dial(t, b.Address())
+	beyond.Closed(t)
+	b.counted(t, "connection refused, table full")
+	b.counted(t, "connection closed to make room")
+	// The one idle for longest is asked to go, and its router may still finish what it sent.
+	assert.Equal(t, byte(21), routers[0].Next(t).Type)
+	assert.Equal(t, byte(30), routers[0].Next(t).Type)
+}
+
+func TestIdleConnectionsAreAskedToGo(t *testing.T) {
+	b := newBench(t, usual())
+	busy, idle := standin.Dial(t, b.Address()), standin.Dial(t, b.Address())
+	busy.Send(t, standin.Request(1, "pay", ""))
+	b.pool.Next(t, "spawn")
+	b.server.Post(func() { b.CloseIdle(20 * time.Millisecond) })
+	assert.Equal(t, standin.Reply{Type: 30, Fields: map[string]string{}}, idle.Next(t))
+	idle.Closed(t) // as its router does not
+	b.pool.Finish(standin.Call(1), "success", []byte("kept open"))
+	assert.Equal(t, "kept open", busy.Next(t).Body)
+}
