--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -38,11 +38,15 @@
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for failing := false; ; {
-		// A service that is down refuses datagrams. Its list stands still meanwhile, so it is enough to go on.
+		// The error of a datagram that found no service comes with the next one, which is then not sent. So it
+		// is sent again: the service may be back by now, and would take the server off its list without it.
 		err := r.report()
+		if err != nil {
+			_ = r.report() // its error comes with the next one
+		}
 		if failed := err != nil; failed != failing {
 			failing = failed
-			r.log.Warn("membership reports", "failing", failing, "error", err)
+			r.log.Warn("membership reports", "refused", failing, "error", err)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -22,3 +22,31 @@
 	r.Leave()
 	require.Eventually(t, func() bool { return members.Next(t) == "HB n7 OUT" }, standin.Patience, time.Millisecond)
 }
+
+// lines takes what is logged, a line at a time.
+type lines chan string
+
+func (l lines) Write(line []byte) (int, error) {
+	l <- string(line)
+	return len(line), nil
+}
+
+// A service that was down and came back was told nothing for a further period, as the error of the report
+// before kept the first one back.
+func TestServiceBack(t *testing.T) {
+	members := standin.NewMembers(t)
+	address := members.Address
+	members.Stop()
+	lines := make(lines, 100)
+	r, err := New("n7", address, slog.New(slog.NewTextHandler(lines, nil)))
+	require.NoError(t, err)
+	go r.Run(t.Context(), 10*time.Millisecond)
+	assert.Contains(t, <-lines, "refused=true")
+	members = standin.MembersAt(t, address)
+	assert.Equal(t, "HB n7 UP", members.Next(t))
+	assert.Contains(t, <-lines, "refused=false")
+	for range 3 {
+		members.Next(t)
+	}
+	assert.Empty(t, lines, "a line for each report")
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -195,13 +195,19 @@
 }
 
 // NewMembers starts a membership service.
-func NewMembers(t testing.TB) *Members {
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+func NewMembers(t testing.TB) *Members { return MembersAt(t, "127.0.0.1:0") }
+
+// MembersAt starts one at an address.
+func MembersAt(t testing.TB, address string) *Members {
+	socket, err := net.ListenPacket("udp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { socket.Close() })
 	return &Members{socket.LocalAddr().String(), socket}
 }
 
+// Stop ends the service.
+func (m *Members) Stop() { m.socket.Close() }
+
 // Next waits for the next report.
 func (m *Members) Next(t testing.TB) string {
 	t.Helper()
