--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -92,6 +92,9 @@
 func read(ctx context.Context, link netpoll.Connection) error {
 	c := ctx.Value(connKey{}).(*conn)
 	in := link.Reader()
+	if in.Len() > c.front.ahead && !c.dead {
+		c.fail("sends faster than can be read") // netpoll reads on whether or not its callbacks keep up
+	}
 	bytes, err := in.Next(in.Len())
 	if err != nil {
 		return err
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	sweepEvery    = 100 * time.Millisecond
 	retiredWait   = time.Second // for a router to close what it was asked to
 	outShare      = 8           // part of the program's memory, as a divisor, that unread answers may take
+	aheadShare    = 32          // the same, for what one connection may have sent ahead of its reading
 )
 
 // frontKey finds the front of a connection in its context.
@@ -67,6 +68,7 @@
 	dirty   []*conn
 	waiting int // bytes that peers have yet to read
 	bound   int
+	ahead   int
 	idle    time.Duration
 	swept   time.Duration
 	retired bool
@@ -84,6 +86,7 @@
 		server: s, counts: counts, log: log, listener: listener,
 		most:  int64(max(limits.Sockets-sparedSockets, limits.Sockets/2)),
 		bound: limits.MemoryMB << 20 / outShare,
+		ahead: limits.MemoryMB << 20 / aheadShare,
 	}
 	f.loop, err = netpoll.NewEventLoop(read, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
