--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -31,7 +31,8 @@
 	c.Saw("check failed: " + otherwise)
 }
 
-// Saw counts what came from outside or ran out, and logs the first time of each.
+// Saw counts what came from outside or ran out, and logs the first time of each. The words are the program's
+// own: with a peer's in them each would be a counter, and a log line, of its own.
 func (c *Counts) Saw(what string) {
 	c.mu.Lock()
 	c.times[what]++
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -473,8 +473,12 @@
 
 // unknown takes that the pool did not carry out a command. A run it does not know has not begun and will not.
 func (s *Server) unknown(n *pool.Notice) {
-	s.counts.Saw("pool knows nothing of: " + n.Outcome)
-	if t := s.tasks[n.Task]; n.Outcome == "spawn" && t != nil && t.active {
+	if n.Outcome != "spawn" {
+		s.counts.Saw("pool did not carry out a command")
+		return
+	}
+	s.counts.Saw("pool did not carry out a spawn")
+	if t := s.tasks[n.Task]; t != nil && t.active {
 		s.end(t, choice.Broken, 0, nil)
 	}
 }
