--- a/choice/task.go
+++ b/choice/task.go
@@ -106,6 +106,19 @@
 	Gauges   *Gauges       // set when an alarm rang
 }
 
+// Clear empties a round for the next one and keeps its memory, but nothing that its tasks hold.
+func (r *Round) Clear() {
+	clear(r.Returned)
+	clear(r.AtCall)
+	clear(r.Ended)
+	clear(r.Gone)
+	clear(r.Arrived)
+	*r = Round{
+		Returned: r.Returned[:0], AtCall: r.AtCall[:0], Ended: r.Ended[:0],
+		Gone: r.Gone[:0], Arrived: r.Arrived[:0],
+	}
+}
+
 // Writer takes the decisions of a round, in order.
 type Writer interface {
 	Start(t *Task)
--- a/cmd/adapter/instance.go
+++ b/cmd/adapter/instance.go
@@ -44,21 +44,6 @@
 	}, nil
 }
 
-// clear empties the round and keeps its memory.
-func (in *instance) clear() {
-	r := &in.round
-	clear(r.Returned)
-	clear(r.AtCall)
-	clear(r.Ended)
-	clear(r.Gone)
-	clear(r.Arrived)
-	*r = choice.Round{
-		Returned: r.Returned[:0], AtCall: r.AtCall[:0], Ended: r.Ended[:0],
-		Gone: r.Gone[:0], Arrived: r.Arrived[:0],
-	}
-	in.touched = false
-}
-
 // settle drops what no later event can concern.
 func (in *instance) settle(t *choice.Task) {
 	id, known := in.ids[t]
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -71,7 +71,8 @@
 	for _, t := range in.round.Gone {
 		in.settle(t)
 	}
-	in.clear()
+	in.round.Clear()
+	in.touched = false
 }
 
 func (d *door) touch(in *instance) {
--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -73,7 +73,7 @@
 		address: free.Addr().String(), pool: standin.NewPool(t), members: standin.NewMembers(t), log: &logText{},
 	}
 	free.Close()
-	path := standin.Configuration(t, p.address, p.pool.Address, p.members.Address, standin.Settings)
+	path := standin.StartFile(t, p.address, p.pool.Address, p.members.Address, standin.Site)
 	p.cmd = exec.Command(builds[build])
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_NAME=n1", "EDGE_LISTEN="+p.address)
 	p.cmd.Stderr = p.log
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,7 +30,7 @@
 
 func newBench(t *testing.T, limits server.Limits) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	told, err := terms.FromJSON([]byte(standin.Settings))
+	told, err := terms.FromJSON([]byte(standin.Site))
 	require.NoError(t, err)
 	counts := check.New(log)
 	owner, err := server.New(told, 1, limits, counts, log)
--- /dev/null
+++ b/internal/server/runs.go
@@ -0,0 +1,132 @@
+package server
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quartzpoint/choice"
+	"quartzpoint/internal/pool"
+)
+
+// told takes one notice of the worker pool.
+func (s *Server) told(n *pool.Notice) {
+	switch n.Kind {
+	case pool.Polled:
+		s.polled = n.Nonce
+		s.terms.Gauges(&s.gauges, n.Readings)
+		s.fresh = s.fresh || s.asked > 0 && n.Nonce >= s.asked
+	case pool.Finished:
+		s.finished(n)
+	case pool.Unknown:
+		s.unknown(n)
+	case pool.Verified:
+		for i, c := range s.checks {
+			if c.nonce == n.Nonce {
+				s.checks = append(s.checks[:i], s.checks[i+1:]...)
+				c.caller.Checked(c.stream, n.Outcome == "success", s.level)
+				break
+			}
+		}
+	case pool.Down:
+		s.linkDown()
+	case pool.Synced:
+		s.linkSynced()
+	}
+}
+
+// outcomes are the pool's words for the end of a run.
+var outcomes = map[string]choice.Outcome{
+	"success":     choice.Done,
+	"failure":     choice.Broken,
+	"interrupted": choice.Stopped,
+	"nothing":     choice.Void,
+}
+
+func (s *Server) finished(n *pool.Notice) {
+	t := s.tasks[n.Task]
+	if t == nil || !t.active {
+		s.counts.Saw("end of a run nobody asked for")
+		return
+	}
+	outcome, known := outcomes[n.Outcome]
+	if !known {
+		s.counts.Saw("end of a run with an unknown outcome")
+		outcome = choice.Broken
+	}
+	s.end(t, outcome, n.Took, n.Result)
+}
+
+// end files the end of a run. It answers for itself: with the result, or as given up on.
+func (s *Server) end(t *Task, outcome choice.Outcome, took time.Duration, result []byte) {
+	t.active = false
+	s.round.Ended = append(s.round.Ended, choice.Ending{Task: &t.Task, Outcome: outcome, Took: took})
+	s.touched = true
+	if t.answered {
+		return
+	}
+	if outcome == choice.Done {
+		s.answer(t, Answer{Verdict: Honoured, Result: result})
+	} else {
+		s.answer(t, Answer{Verdict: GivenUp})
+	}
+}
+
+// unknown takes that the pool did not carry out a command. A run it does not know has not begun and will not.
+func (s *Server) unknown(n *pool.Notice) {
+	if n.Outcome != "spawn" {
+		s.counts.Saw("pool did not carry out a command")
+		return
+	}
+	s.counts.Saw("pool did not carry out a spawn")
+	if t := s.tasks[n.Task]; t != nil && t.active {
+		s.end(t, choice.Broken, 0, nil)
+	}
+}
+
+// linkDown marks the runs of which the pool may or may not have been told: those given after the last poll
+// that it answered.
+func (s *Server) linkDown() {
+	s.asked = 0
+	s.alarms = append(s.alarms, s.Now()) // the alarm whose poll is lost
+	for _, t := range s.tasks {          // each for itself, so the order decides nothing
+		if t.active && t.sent && t.mark > s.polled {
+			t.unsure = true
+		}
+	}
+}
+
+// linkSynced makes good what the link's loss left open. All notices up to now have been read, so a run that
+// is still open runs, or never came to the pool. What was never sent is sent now. What may have been sent is
+// sent again where a second run does no harm; the pool takes no notice of it while the first runs. A task
+// that must not run twice is given up on instead: its run might end just while it is sent again. That gives
+// away a task that never ran where the link broke in the few milliseconds before the pool read it.
+func (s *Server) linkSynced() {
+	var open []*Task
+	for _, t := range s.tasks {
+		if t.active {
+			open = append(open, t)
+		}
+	}
+	slices.SortFunc(open, func(a, b *Task) int {
+		return cmp.Or(cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.id, b.id))
+	})
+	for _, t := range open {
+		switch {
+		case !t.sent && !t.answered, t.unsure && !t.answered && t.Type.Repeats == choice.Reissuable:
+			t.sent, t.unsure = false, false
+			s.spawn(t)
+		case !t.sent:
+			s.end(t, choice.Void, 0, nil)
+		case t.unsure:
+			s.counts.Saw("run not known to have begun, given up on")
+			s.link.Suspend(t.id)
+			s.end(t, choice.Broken, 0, nil)
+		}
+	}
+}
+
+func (s *Server) spawn(t *Task) {
+	t.mark = s.link.Next()
+	t.sent = s.link.Spawn(t.id, t.handler, t.body)
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -44,7 +44,7 @@
 
 func newBench(t *testing.T) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	told, err := terms.FromJSON([]byte(standin.Settings))
+	told, err := terms.FromJSON([]byte(standin.Site))
 	require.NoError(t, err)
 	b := &bench{
 		pool: standin.NewPool(t), counts: check.New(log), left: make(chan struct{}),
@@ -318,7 +318,7 @@
 		"no traffic type":    {`"name":`, `"title":`},
 	}
 	for want, change := range cases {
-		told, err := terms.FromJSON([]byte(strings.ReplaceAll(standin.Settings, change[0], change[1])))
+		told, err := terms.FromJSON([]byte(strings.ReplaceAll(standin.Site, change[0], change[1])))
 		require.NoError(t, err)
 		_, err = New(told, 1, Limits{96, 256}, nil, nil)
 		assert.ErrorContains(t, err, want)
--- /dev/null
+++ b/internal/server/tasks.go
@@ -0,0 +1,139 @@
+package server
+
+import (
+	"time"
+
+	"quartzpoint/choice"
+)
+
+// Verdict is what an answer says became of a task.
+type Verdict int
+
+// The three verdicts.
+const (
+	Honoured Verdict = iota
+	Dismissed
+	GivenUp
+)
+
+// Answer is the one final answer to a task.
+type Answer struct {
+	Verdict     Verdict
+	Level       string        // as last stated, empty where it never was
+	ComeBack    time.Duration // on a dismissal, how long the caller should stay away
+	NowhereElse bool          // on a dismissal, that no other server be tried
+	Result      []byte
+}
+
+// Caller is where tasks and health checks come from. All calls come from the owner of decisions.
+type Caller interface {
+	Answer(stream uint32, a Answer)
+	Checked(stream uint32, good bool, level string)
+}
+
+// Front is a way in for tasks.
+type Front interface {
+	CloseIdle(span time.Duration)
+	Flush() (written bool) // writes all that was answered; false while peers have yet to read some
+	Retire()               // takes no more connections and asks for no more tasks on those that are open
+	Open() int             // connections
+}
+
+// Task is a task and what the program keeps for it until the last that can come for it has come.
+type Task struct {
+	choice.Task
+	id       string
+	handler  string
+	body     []byte
+	caller   Caller
+	stream   uint32
+	answered bool
+	active   bool   // started, and its end not told yet
+	sent     bool   // the pool was told to run it
+	mark     uint64 // the nonce of the first poll behind that
+	unsure   bool   // whether the pool was, is not known
+}
+
+// Asked is a task as a front has read it.
+type Asked struct {
+	ID     string // the same at no other task
+	Type   string
+	HeldKB float64
+	Rank   float64
+	Router uint32
+	Came   int64 // Unix milliseconds
+	Waits  time.Duration
+	Body   []byte // kept
+	Caller Caller
+	Stream uint32
+}
+
+// Take files a task that a front has read. A task that can't be understood is dismissed at once, and nothing
+// is returned for it.
+func (s *Server) Take(a Asked) *Task {
+	kind := s.types[a.Type]
+	due, _ := s.terms.Values["tells-due"].(bool)
+	switch {
+	case kind == nil:
+		s.counts.Saw("task of an unknown type")
+	case s.tasks[a.ID] != nil:
+		s.counts.Saw("task whose call is known already")
+	case due && a.Waits <= 0:
+		s.counts.Saw("task without a due time")
+	case len(s.tasks) >= s.most:
+		s.counts.Saw("task beyond the program's own memory")
+	default:
+		now := s.Now()
+		t := &Task{
+			Task: choice.Task{
+				Type: kind, HeldKB: a.HeldKB, Arrived: s.at(a.Came, now), Rank: a.Rank, Caller: a.Router,
+			},
+			id: a.ID, handler: a.Type, body: a.Body, caller: a.Caller, stream: a.Stream,
+		}
+		if a.Waits > 0 {
+			t.Due = t.Arrived + a.Waits
+		}
+		s.tasks[t.id], s.owner[&t.Task] = t, t
+		s.round.Arrived = append(s.round.Arrived, &t.Task)
+		s.touched = true
+		return t
+	}
+	s.Refuse(a.Caller, a.Stream)
+	return nil
+}
+
+// Refuse dismisses at once what can't be understood. The module never hears of it, as there is nothing to
+// decide on.
+func (s *Server) Refuse(c Caller, stream uint32) {
+	c.Answer(stream, Answer{Verdict: Dismissed, Level: s.level})
+}
+
+// Gone files that nobody waits for a task any longer.
+func (s *Server) Gone(t *Task) {
+	if t.answered {
+		return
+	}
+	t.answered = true
+	s.round.Gone = append(s.round.Gone, &t.Task)
+	s.touched = true
+}
+
+// settle forgets a task for which nothing more can come.
+func (s *Server) settle(t *Task) {
+	if t != nil && t.answered && !t.active {
+		delete(s.tasks, t.id)
+		delete(s.owner, &t.Task)
+	}
+}
+
+// answer gives a task its one answer.
+func (s *Server) answer(t *Task, a Answer) {
+	s.counts.That(!t.answered, "a task was answered twice")
+	if t.answered {
+		return
+	}
+	t.answered = true
+	a.Level = s.level
+	t.caller.Answer(t.stream, a)
+	s.settle(t)
+}
--- /dev/null
+++ b/internal/server/writer.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"strconv"
+	"time"
+
+	"quartzpoint/choice"
+)
+
+// Start implements choice.Writer, as do the methods below it.
+func (s *Server) Start(t *choice.Task) {
+	of := s.owner[t]
+	s.counts.That(of != nil && !of.answered, "a settled task was started")
+	grace, _ := s.terms.Values["grace"].(time.Duration)
+	s.counts.That(s.noticed == 0 || t.Arrived <= s.noticed+grace, "a task from past the grace was started")
+	if of == nil || of.answered {
+		return
+	}
+	of.active = true
+	if of.sent {
+		s.link.Proceed(of.id)
+		return
+	}
+	s.spawn(of)
+}
+
+// Pause stops a task's run.
+func (s *Server) Pause(t *choice.Task) {
+	if of := s.owner[t]; of != nil {
+		s.link.Suspend(of.id)
+	}
+}
+
+// Dismiss turns a task away that never ran.
+func (s *Server) Dismiss(t *choice.Task, comeBack time.Duration, nowhereElse bool) {
+	of := s.owner[t]
+	s.counts.That(of != nil && !of.active && !of.sent, "a task that may have run was dismissed")
+	if of != nil {
+		s.answer(of, Answer{Verdict: Dismissed, ComeBack: comeBack, NowhereElse: nowhereElse})
+	}
+}
+
+// GiveUp answers a task that may have run without a result.
+func (s *Server) GiveUp(t *choice.Task) {
+	if of := s.owner[t]; of != nil {
+		s.answer(of, Answer{Verdict: GivenUp})
+	}
+}
+
+// Health sets what health checks are told.
+func (s *Server) Health(good, fromStore bool) {
+	if good != s.good {
+		s.log.Info("health", "good", good)
+	}
+	s.good, s.fromStore = good, fromStore
+}
+
+// Level sets what is told with every answer from here on.
+func (s *Server) Level(level float64) { s.level = strconv.FormatFloat(level, 'f', -1, 64) }
+
+// CloseIdle has the fronts close connections that have carried nothing for a while.
+func (s *Server) CloseIdle(span time.Duration) {
+	for _, f := range s.fronts {
+		f.CloseIdle(span)
+	}
+}
+
+// Wake sets an alarm.
+func (s *Server) Wake(in time.Duration) { s.alarms = append(s.alarms, s.Now()+in) }
+
+// Note logs the module's own words on something that operators may act on.
+func (s *Server) Note(words string) { s.log.Info("decision", "note", words) }
+
+// The remaining decisions are about numbered tasks and calls, which New has ruled out.
+
+// AnswerFromFirst does nothing here.
+func (s *Server) AnswerFromFirst(*choice.Task) { s.counts.That(false, "a repeat was to be answered") }
+
+// Remember does nothing here.
+func (s *Server) Remember(*choice.Task, time.Duration) {
+	s.counts.That(false, "a number was to be kept")
+}
+
+// Forget does nothing here.
+func (s *Server) Forget(*choice.Task) { s.counts.That(false, "a number was to be dropped") }
+
+// Call does nothing here.
+func (s *Server) Call(*choice.Task, time.Duration) { s.counts.That(false, "a call was to be made") }
+
+// SkipCall does nothing here.
+func (s *Server) SkipCall(*choice.Task) { s.counts.That(false, "a call was to be left out") }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -309,8 +309,8 @@
 	}
 }
 
-// Settings are those of a site with a reissuable and an at-most-once type.
-const Settings = `{"extra":{"advert":"threshold","below":"none","calls-by-class":[false,false],
+// Site holds the settings of a site with a reissuable and an at-most-once type.
+const Site = `{"extra":{"advert":"threshold","below":"none","calls-by-class":[false,false],
 "class-skip-worth":[0.0,0.0],"cold":false,"cores":4,"gauges":["core_use","on_cores","heap_share","links"],
 "halt":"suspend","idle":30000000,"passes-deadline":true,"ram-kb":60000.0,"run-factor":8.0},
 "limits":{"max-retry-after":1000000,"retry-after":true},
@@ -320,12 +320,12 @@
 {"name":"pay","deadline":9000000,"goal-time":8000000,"gain":4.0,"idempotency":"fragile","late-value":0.0}],
 "tenants":[],"value-by":"request"}`
 
-// Configuration writes a configuration file and returns its path.
-func Configuration(t testing.TB, listen, pool, members, settings string) string {
+// StartFile writes what a program is told at its start and returns its path.
+func StartFile(t testing.TB, listen, pool, members, site string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"pool":%q,"members":%q,"seed":"1f","stop_ms":1500,
-"limits":{"cores":1.0,"memory_mb":96,"sockets":256},"settings":%s}`, listen, pool, members, settings)
+"limits":{"cores":1.0,"memory_mb":96,"sockets":256},"settings":%s}`, listen, pool, members, site)
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
