--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -41,6 +41,7 @@
 	beyondTable bool // there is no room for it
 
 	open    map[uint32]*server.Task // nil values never stand in it
+	highest uint32                  // stream so far; they go from 1 up, so no list of those used is needed
 	part    []byte                  // the beginning of a frame whose rest has not come
 	beyond  int                     // bytes to pass over
 	out     *outbox.Box
@@ -151,16 +152,18 @@
 // understood is refused, as then the router knows that it never ran.
 func (c *conn) request(f frame.Frame) {
 	switch {
-	case f.Stream == 0 || c.open[f.Stream] != nil:
-		c.fail("stream in use")
+	case f.Stream <= c.highest:
+		c.fail("stream used before")
 		return
 	case len(c.open) >= mostOpen:
 		c.fail("too many open requests")
 		return
 	case f.Beyond > 0:
+		c.highest = f.Stream
 		c.refuse(f.Stream, "request too long")
 		return
 	}
+	c.highest = f.Stream
 	fields, body, err := frame.Split(f.Payload)
 	if err != nil {
 		c.fail(err.Error())
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -119,8 +119,9 @@
 		"unknown type":  {standin.Frame(12, 1, ""), "unknown frame type"},
 		"cut fields":    {cut, "field list cut short"},
 		"cut check":     {[]byte{0, 0, 0, 6, 20, 0, 0, 0, 1, 9}, "field list cut short"},
-		"stream 0":      {standin.Request(0, "pay", ""), "stream in use"},
-		"stream in use": {append(good, standin.Request(1, "pay", "", "call", standin.Call(9))...), "stream in use"},
+		"stream 0":      {standin.Request(0, "pay", ""), "stream used before"},
+		"stream in use": {append(good, standin.Request(1, "pay", "", "call", standin.Call(9))...), "stream used before"},
+		"stream of old": {append(standin.Request(8, "unheard-of", ""), good...), "stream used before"},
 		"too many open": {many, "too many open requests"},
 	}
 	b := newBench(t, usual())
