Set no alarm of its own when the pool's link is lost

Seen while reading internal/server/runs.go, then shown by a test: linkDown replaced the alarm whose poll was lost, but also where none was. The module sets the next alarm at each one, so every lost link added a chain of alarms for good (5 after 5 losses), and rounds, limit and level moved at a multiple of their rate. The lost poll's round comes by gaugeWait in any case, so the replacement is gone.

Beside it: a result that is no base64 ends its task as failed and no longer its link, which would have read the same line again after each bind; and links that end as soon as they are up are asked for in growing spans.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -61,7 +61,7 @@
 	Spent    float64   `json:"spent"`
 	Nonce    string    `json:"nonce"`
 	Readings []float64 `json:"readings"`
-	Bytes    []byte    `json:"bytes"`
+	Bytes    string    `json:"bytes"`
 }
 
 // Link is the connection to the worker pool. Run keeps it up; all else is called by the one owner of
@@ -110,9 +110,12 @@
 	for ctx.Err() == nil {
 		c, err := dialer.DialContext(ctx, "tcp", l.address)
 		if err == nil {
-			wait, down = firstWait, false
+			begin := time.Now()
 			err = l.serve(ctx, c.(*net.TCPConn))
 			l.drop()
+			if down = false; time.Since(begin) > mostWait {
+				wait = firstWait // a link that ends as soon as it is up is asked in growing spans too
+			}
 		}
 		if ctx.Err() != nil {
 			return
@@ -202,8 +205,13 @@
 		l.log.Info("pool link bound", "pool", told.Outcome, "up_ms", told.Spent, "after_notice", l.read)
 		return nil
 	case "finished":
-		n.Kind, n.Result = Finished, told.Bytes
-		n.Took = time.Duration(told.Spent * float64(time.Millisecond))
+		n.Kind, n.Took = Finished, time.Duration(told.Spent*float64(time.Millisecond))
+		var err error
+		if n.Result, err = base64.StdEncoding.DecodeString(told.Bytes); err != nil {
+			// The notice is kept: without it the link would be bound, and end, at this line again and again.
+			l.saw("pool result that can't be read")
+			n.Outcome, n.Result = "failure", nil
+		}
 	case "polled", "verified":
 		nonce, err := strconv.ParseUint(told.Nonce, 10, 64)
 		if err != nil {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -129,6 +129,8 @@
 	b.pool.Say(`{"verb":"finished","index":2,"task":"b","outcome":"success","spent":1,"bytes":""}` + "\n")
 	b.pool.Say(`{"verb":"finished","index":5,"task":"c","outcome":"failure","spent":1}` + "\n")
 	assert.Equal(t, "c", b.next(t, Finished).Task, "a notice told again was taken as a new one")
+	b.pool.Say(`{"verb":"finished","index":6,"task":"d","outcome":"success","spent":1,"bytes":"*"}` + "\n")
+	assert.Equal(t, "failure", b.next(t, Finished).Outcome, "a result that can't be read")
 	assert.Equal(t, 1, b.counts.Times("pool notice told again"))
 	assert.Equal(t, 1, b.counts.Times("pool notices missed"))
 }
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -87,9 +87,7 @@
 // linkDown marks the runs of which the pool may or may not have been told: those given after the last poll
 // that it answered.
 func (s *Server) linkDown() {
-	s.asked = 0
-	s.alarms = append(s.alarms, s.Now()) // the alarm whose poll is lost
-	for _, t := range s.tasks {          // each for itself, so the order decides nothing
+	for _, t := range s.tasks { // each for itself, so the order decides nothing
 		if t.active && t.sent && t.mark > s.polled {
 			t.unsure = true
 		}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -219,6 +219,21 @@
 	}
 }
 
+// Each lost link once set one more alarm, and each alarm the next: the rounds, and the rate at which limit and
+// level move, doubled with every loss.
+func TestLinkLostSetsNoAlarms(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	for range 5 {
+		b.bound(t)
+		b.pool.Cut()
+		b.pool.Next(t, "bind")
+	}
+	alarms := make(chan int)
+	b.Post(func() { alarms <- len(b.alarms) })
+	assert.LessOrEqual(t, <-alarms, 1)
+}
+
 func TestPoolKnowsNothing(t *testing.T) {
 	b := newBench(t)
 	b.pool.Ready()
