--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -279,7 +279,7 @@
 	}
 	c.retired = true
 	c.last = c.front.server.Now()
-	c.put(retireFrame())
+	c.put(frame.Begin(nil, frame.Close, 0, 0, nil, 0))
 }
 
 // fail tells of an error that belongs to no request and ends the connection. What was open on it has lost
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -211,6 +211,3 @@
 		c.retire()
 	}
 }
-
-// retireFrame is the whole of the frame that asks for no new request.
-func retireFrame() []byte { return frame.Begin(nil, frame.Close, 0, 0, nil, 0) }
