--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,7 +13,6 @@
 	"golang.org/x/sys/unix"
 
 	"quartzpoint/internal/check"
-	"quartzpoint/internal/frame"
 	"quartzpoint/internal/server"
 )
 
