Leave by the last moment whatever routers read; assert runs sent once and alarms

Found by reading leaving: answers that a router never reads counted as not written, so the process would have stayed until it was killed. A test with a front whose peers do not read shows it.

--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -40,7 +40,11 @@
 			unanswered++
 		}
 	}
-	if unanswered > 0 || !written || open > 0 && now < s.stop-lastMoment {
+	// A router that neither reads nor closes must not keep the process until it is killed.
+	done := unanswered == 0 && written && open == 0
+	last := unanswered == 0 && now >= s.stop-lastMoment
+	s.counts.That(unanswered == 0 || now < s.stop, "the stop came with tasks unanswered")
+	if !done && !last && now < s.stop {
 		return false
 	}
 	s.log.Info("left", "connections", open, "stopped_runs", len(s.tasks), "before_stop", s.stop-now)
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -124,7 +124,9 @@
 	}
 }
 
+// spawn has the pool run a task, or notes that it could not be told.
 func (s *Server) spawn(t *Task) {
+	s.counts.That(!t.sent, "a run was sent twice")
 	t.mark = s.link.Next()
 	t.sent = s.link.Spawn(t.id, t.handler, t.body)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 const (
 	gaugeWait   = 5 * time.Millisecond   // that an alarm's round waits for the pool's gauges
 	verifyWait  = time.Second            // until a deep check without an answer is a bad one
+	mostAlarms  = 8                      // set at once
 	mostChecks  = 8                      // deep checks in the pool's hands
 	lastOrders  = 400 * time.Millisecond // before the stop, when no further connection is taken
 	lastMoment  = 40 * time.Millisecond  // before the stop, by which the process ends
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -33,12 +33,13 @@
 	checks  chan bool
 	left    chan struct{}
 	retired bool
+	unread  bool // the front's peers do not read
 }
 
 func (b *bench) Answer(stream uint32, a Answer)        { b.answers <- answered{stream, a} }
 func (b *bench) Checked(_ uint32, good bool, _ string) { b.checks <- good }
 func (b *bench) CloseIdle(time.Duration)               {}
-func (b *bench) Flush() bool                           { return true }
+func (b *bench) Flush() bool                           { return !b.unread }
 func (b *bench) Retire()                               { b.retired = true }
 func (b *bench) Open() int                             { return 0 }
 
@@ -322,6 +323,17 @@
 	assert.Len(t, b.answers, 40)
 }
 
+// A peer that does not read its answers kept the process from leaving until it was killed.
+func TestLeavingWithAPeerThatDoesNotRead(t *testing.T) {
+	b := newBench(t)
+	b.Post(func() { b.unread = true; b.Leave(500 * time.Millisecond) })
+	select {
+	case <-b.left:
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "the server does not leave")
+	}
+}
+
 func TestTermsItCantServe(t *testing.T) {
 	cases := map[string][2]string{
 		"is numbered":        {`"retryable"`, `"dedup"`},
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -65,8 +65,13 @@
 	}
 }
 
-// Wake sets an alarm.
-func (s *Server) Wake(in time.Duration) { s.alarms = append(s.alarms, s.Now()+in) }
+// Wake sets an alarm. The module sets one at each that rings; more would be chains of them.
+func (s *Server) Wake(in time.Duration) {
+	s.counts.That(len(s.alarms) < mostAlarms, "alarms pile up")
+	if len(s.alarms) < mostAlarms {
+		s.alarms = append(s.alarms, s.Now()+in)
+	}
+}
 
 // Note logs the module's own words on something that operators may act on.
 func (s *Server) Note(words string) { s.log.Info("decision", "note", words) }
