--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 const (
 	gaugeWait   = 5 * time.Millisecond   // that an alarm's round waits for the pool's gauges
 	verifyWait  = time.Second            // until a deep check without an answer is a bad one
+	mostPasses  = 4                      // over what came in before a round
 	mostAlarms  = 8                      // set at once
 	mostChecks  = 8                      // deep checks in the pool's hands
 	lastOrders  = 400 * time.Millisecond // before the stop, when no further connection is taken
@@ -121,7 +122,7 @@
 // at maps a moment of the system's Unix clock, which may step, to the clock of rounds. What is stated as
 // later than now is taken as now.
 func (s *Server) at(unixMS int64, now time.Duration) time.Duration {
-	ago := time.Since(time.UnixMilli(unixMS).Round(0))
+	ago := time.Since(time.UnixMilli(unixMS))
 	return now - max(ago, 0)
 }
 
@@ -133,7 +134,8 @@
 	}
 }
 
-// Post has the owner call f in its turn.
+// Post has the owner call f in its turn. What waits is bounded by its callers: a connection has one callback
+// of netpoll in hand at a time, beside those of its beginning and its end.
 func (s *Server) Post(f func()) {
 	s.mu.Lock()
 	s.posted = append(s.posted, f)
@@ -148,7 +150,9 @@
 	var batch []func()
 	s.decide(s.Now()) // the first round is empty and lets the module state its health and set its alarm
 	for {
-		for again := true; again; {
+		// What comes while this is taken in belongs to the same moment, up to a point: a flood must not keep
+		// the round, and with it the answers that are due, from coming at all.
+		for pass, again := 0, true; again && pass < mostPasses; pass++ {
 			s.mu.Lock()
 			batch, s.posted = s.posted, batch[:0]
 			s.mu.Unlock()
