--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -116,7 +116,7 @@
 
 			router := standin.Dial(t, p.address)
 			body := "\x00\xff\r\n{}"
-			router.Send(t, standin.Request(1, "browse", body), standin.Request(2, "pay", "second"))
+			router.Send(t, standin.Task(1, "browse", body), standin.Task(2, "pay", "second"))
 			for range 2 {
 				spawn := p.pool.Next(t, "spawn")
 				p.pool.Finish(spawn.Task, "success", append([]byte("did "), spawn.Body...))
@@ -130,7 +130,7 @@
 			assert.Equal(t, map[uint32]string{1: "did " + body, 2: "did second"}, got)
 
 			// A bad request and a bad frame beside good traffic.
-			router.Send(t, standin.Request(3, "unheard-of", ""))
+			router.Send(t, standin.Task(3, "unheard-of", ""))
 			assert.Equal(t, byte(50), router.Next(t).Code)
 			bad := standin.Dial(t, p.address)
 			bad.Send(t, []byte("GET / HTTP/1.1\r\n"))
@@ -138,7 +138,7 @@
 			bad.Closed(t)
 
 			// The pool's link cut under a run: it is told of the end, and not to run it again.
-			router.Send(t, standin.Request(4, "pay", ""))
+			router.Send(t, standin.Task(4, "pay", ""))
 			p.pool.Next(t, "spawn")
 			first := len(p.pool.Commands)
 			p.pool.Cut()
@@ -166,7 +166,7 @@
 	codes, advised, last, level := map[byte]int{}, 0, 0, ""
 	for stream, open := uint32(1), 0; advised == 0 || last == 0 || level == "" || level == "0"; open-- {
 		for ; open < 30; open++ {
-			router.Send(t, standin.Request(stream, "browse", ""))
+			router.Send(t, standin.Task(stream, "browse", ""))
 			stream++
 		}
 		reply := router.Next(t)
@@ -193,7 +193,7 @@
 			router := standin.Dial(t, p.address)
 			const before = 20
 			for stream := range uint32(before) {
-				router.Send(t, standin.Request(stream+1, "pay", ""))
+				router.Send(t, standin.Task(stream+1, "pay", ""))
 			}
 			p.pool.Next(t, "spawn")
 			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -9,18 +9,20 @@
 
 // The types of frames.
 const (
-	Request = 10
+	Task    = 10
 	Answer  = 11
 	Check   = 20
 	Checked = 21
-	Close   = 30 // no new request on this connection
+	Close   = 30 // no new task on this connection
 )
 
 // The codes that open an answer's payload.
 const (
-	Served  = 20
-	Refused = 50
-	Failed  = 51
+	Honoured  = 20
+	Dismissed = 50
+	GivenUp   = 51
+	Good      = Honoured // of health checks
+	Bad       = GivenUp
 )
 
 const (
@@ -32,7 +34,7 @@
 )
 
 // MostWhole is the longest frame that is ever put together in memory. A body has 2 KiB at most and fields
-// are a few words, so nothing that can be served is longer; without the bound a router could make each of
+// are a few words, so nothing that can be honoured is longer; without the bound a router could make each of
 // its connections hold a quarter of a megabyte. Longer frames of a legal length are read past.
 const MostWhole = 8 << 10
 
@@ -64,7 +66,7 @@
 		return f, read, false, nil
 	}
 	f.Type, f.Stream = read[prefix], binary.BigEndian.Uint32(read[prefix+1:])
-	if f.Type != Request && f.Type != Check {
+	if f.Type != Task && f.Type != Check {
 		return f, read, false, errType
 	}
 	whole := prefix + int(length)
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -96,7 +96,7 @@
 }
 
 func TestBegin(t *testing.T) {
-	got := Begin([]byte("x"), Answer, 258, Refused, []Field{{"load", "0.2"}, {"stop", "1"}}, 3)
+	got := Begin([]byte("x"), Answer, 258, Dismissed, []Field{{"load", "0.2"}, {"stop", "1"}}, 3)
 	assert.Equal(t, "x\x00\x00\x00\x1c\x0b\x00\x00\x01\x02\x32\x02\x04load\x00\x030.2\x04stop\x00\x011", string(got))
 	assert.Equal(t, "\x00\x00\x00\x05\x1e\x00\x00\x00\x00", string(Begin(nil, Close, 0, 0, nil, 0)))
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -17,13 +17,13 @@
 )
 
 const (
-	mostOpen   = 32      // requests on a connection
-	mostBody   = 2 << 10 // bytes of a request
+	mostOpen   = 32      // tasks on a connection
+	mostBody   = 2 << 10 // bytes of a task
 	mostAnswer = 4<<10 + 256
-	mostHeap   = 2000.0 // KB booked for a request
+	mostHeap   = 2000.0 // KB booked for a task
 	mostWaits  = 24 * time.Hour
-	mostAge    = 10 * time.Minute // of a request when read; more is a clock that is wrong
-	mostAhead  = time.Minute      // by which a request may come from the future
+	mostAge    = 10 * time.Minute // of a task when read; more is a clock that is wrong
+	mostAhead  = time.Minute      // by which a task may come from the future
 )
 
 // connKey finds a connection in its context.
@@ -129,7 +129,7 @@
 		if f.Type == frame.Check {
 			c.check(f)
 		} else {
-			c.request(f)
+			c.task(f)
 		}
 	}
 	c.part = append(c.part[:0], bytes...)
@@ -148,19 +148,19 @@
 	c.front.server.Check(c, f.Stream, string(deep) == "1")
 }
 
-// request takes a request. What breaks the framing ends the connection; what is whole but can't be
-// understood is refused, as then the router knows that it never ran.
-func (c *conn) request(f frame.Frame) {
+// task takes a task. What breaks the framing ends the connection; what is whole but can't be
+// understood is dismissed, as then the router knows that it never ran.
+func (c *conn) task(f frame.Frame) {
 	switch {
 	case f.Stream <= c.highest:
 		c.fail("stream used before")
 		return
 	case len(c.open) >= mostOpen:
-		c.fail("too many open requests")
+		c.fail("too many open tasks")
 		return
 	case f.Beyond > 0:
 		c.highest = f.Stream
-		c.refuse(f.Stream, "request too long")
+		c.dismiss(f.Stream, "length")
 		return
 	}
 	c.highest = f.Stream
@@ -171,7 +171,7 @@
 	}
 	asked, err := c.asked(fields, body)
 	if err != nil {
-		c.refuse(f.Stream, err.Error())
+		c.dismiss(f.Stream, err.Error())
 		return
 	}
 	asked.Caller, asked.Stream = c, f.Stream
@@ -180,12 +180,12 @@
 	}
 }
 
-func (c *conn) refuse(stream uint32, why string) {
-	c.front.counts.Saw("request not understood: " + why)
-	c.front.server.Refuse(c, stream)
+func (c *conn) dismiss(stream uint32, why string) {
+	c.front.counts.Saw("task not understood: " + why)
+	c.front.server.DismissUnseen(c, stream)
 }
 
-// asked reads a request's fields. Nothing of it points into what was read.
+// asked reads a task's fields. Nothing of it points into what was read.
 func (c *conn) asked(fields frame.Fields, body []byte) (a server.Asked, err error) {
 	text := func(name string) string {
 		value, _ := fields.Get(name)
@@ -237,12 +237,12 @@
 
 // codes are the protocol's codes for verdicts.
 var codes = map[server.Verdict]byte{
-	server.Honoured:  frame.Served,
-	server.Dismissed: frame.Refused,
-	server.GivenUp:   frame.Failed,
+	server.Honoured:  frame.Honoured,
+	server.Dismissed: frame.Dismissed,
+	server.GivenUp:   frame.GivenUp,
 }
 
-// Answer puts the one answer to a request behind what waits to be written.
+// Answer puts the one answer to a task behind what waits to be written.
 func (c *conn) Answer(stream uint32, a server.Answer) {
 	delete(c.open, stream)
 	fields := withLevel(a.Level)
@@ -258,9 +258,9 @@
 
 // Checked answers a health check.
 func (c *conn) Checked(stream uint32, good bool, level string) {
-	code := byte(frame.Served)
+	code := byte(frame.Good)
 	if !good {
-		code = frame.Failed
+		code = frame.Bad
 	}
 	c.put(frame.Begin(nil, frame.Checked, stream, code, withLevel(level), 0))
 }
@@ -282,11 +282,11 @@
 	c.put(frame.Begin(nil, frame.Close, 0, 0, nil, 0))
 }
 
-// fail tells of an error that belongs to no request and ends the connection. What was open on it has lost
+// fail tells of an error that belongs to no task and ends the connection. What was open on it has lost
 // its caller.
 func (c *conn) fail(why string) {
 	c.front.counts.Saw("connection closed: " + why)
-	c.put(frame.Begin(nil, frame.Answer, 0, frame.Failed, nil, len(why)), []byte(why))
+	c.put(frame.Begin(nil, frame.Answer, 0, frame.GivenUp, nil, len(why)), []byte(why))
 	c.flush()
 	c.close()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -180,7 +180,7 @@
 }
 
 // sweep asks idle connections to go, and closes those that were asked and did not. Asking first means that no
-// request crosses the close; a router that does not heed it must not keep a descriptor.
+// task crosses the close; a router that does not heed it must not keep a descriptor.
 func (f *Front) sweep(now time.Duration) {
 	for i := len(f.conns) - 1; i >= 0; i-- {
 		c := f.conns[i]
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -70,9 +70,9 @@
 	b.pool.Echo = true
 	router := standin.Dial(t, b.Address())
 	body := "\x00\xffbody\n"
-	for at := range standin.Request(1, "browse", body) {
+	for at := range standin.Task(1, "browse", body) {
 		stream := uint32(at + 1)
-		request := standin.Request(stream, "browse", body)
+		request := standin.Task(stream, "browse", body)
 		router.Send(t, request[:at])
 		// A check on another connection is answered, so the first part has been read by then.
 		other := standin.Dial(t, b.Address())
@@ -89,7 +89,7 @@
 	b := newBench(t, usual())
 	router := standin.Dial(t, b.Address())
 	for stream := range uint32(3) {
-		router.Send(t, standin.Request(stream+1, "pay", ""))
+		router.Send(t, standin.Task(stream+1, "pay", ""))
 		b.pool.Next(t, "spawn")
 	}
 	for _, stream := range []uint32{2, 3, 1} {
@@ -103,12 +103,12 @@
 
 // What breaks the framing ends its connection and no other.
 func TestBrokenConnections(t *testing.T) {
-	good := standin.Request(1, "pay", "")
-	cut := standin.Request(1, "pay", "")
+	good := standin.Task(1, "pay", "")
+	cut := standin.Task(1, "pay", "")
 	cut[9] = 200 // more fields than there are
 	var many []byte
 	for stream := range uint32(mostOpen + 1) {
-		many = append(many, standin.Request(stream+1, "pay", "")...)
+		many = append(many, standin.Task(stream+1, "pay", "")...)
 	}
 	cases := map[string]struct {
 		bytes []byte
@@ -119,10 +119,10 @@
 		"unknown type":  {standin.Frame(12, 1, ""), "unknown frame type"},
 		"cut fields":    {cut, "field list cut short"},
 		"cut check":     {[]byte{0, 0, 0, 6, 20, 0, 0, 0, 1, 9}, "field list cut short"},
-		"stream 0":      {standin.Request(0, "pay", ""), "stream used before"},
-		"stream in use": {append(good, standin.Request(1, "pay", "", "call", standin.Call(9))...), "stream used before"},
-		"stream of old": {append(standin.Request(8, "unheard-of", ""), good...), "stream used before"},
-		"too many open": {many, "too many open requests"},
+		"stream 0":      {standin.Task(0, "pay", ""), "stream used before"},
+		"stream in use": {append(good, standin.Task(1, "pay", "", "call", standin.Call(9))...), "stream used before"},
+		"stream of old": {append(standin.Task(8, "unheard-of", ""), good...), "stream used before"},
+		"too many open": {many, "too many open tasks"},
 	}
 	b := newBench(t, usual())
 	bystander := standin.Dial(t, b.Address())
@@ -154,22 +154,22 @@
 		{"heap", ""}, {"heap", "0"}, {"heap", "2000"}, {"heap", "NaN"}, {"heap", "-1"},
 	}
 	for i, fields := range cases {
-		router.Send(t, standin.Request(uint32(i+1), "pay", "", fields...))
+		router.Send(t, standin.Task(uint32(i+1), "pay", "", fields...))
 		got := router.Next(t)
 		assert.Equal(t, []any{uint32(i + 1), byte(50)}, []any{got.Stream, got.Code}, "%v", fields)
 	}
-	router.Send(t, standin.Request(100, "pay", strings.Repeat("x", mostBody+1)))
+	router.Send(t, standin.Task(100, "pay", strings.Repeat("x", mostBody+1)))
 	assert.Equal(t, byte(50), router.Next(t).Code, "a body that is too long")
 	router.Send(t, standin.Frame(10, 101, strings.Repeat("x", 3*frame.MostWhole), "op", "pay"))
 	assert.Equal(t, byte(50), router.Next(t).Code, "a frame that is too long")
-	router.Send(t, standin.Request(102, "pay", "after it"))
+	router.Send(t, standin.Task(102, "pay", "after it"))
 	assert.Equal(t, "after it", string(b.pool.Next(t, "spawn").Body), "something else ran, or the frame's rest was read")
 }
 
 func TestCallerGone(t *testing.T) {
 	b := newBench(t, usual())
 	router := standin.Dial(t, b.Address())
-	router.Send(t, standin.Request(1, "browse", ""))
+	router.Send(t, standin.Task(1, "browse", ""))
 	b.pool.Next(t, "spawn")
 	router.Close()
 	assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
@@ -195,7 +195,7 @@
 			b.counts.Times("connection closed: sends faster than can be read") > 0
 	}
 	for stream := uint32(1); !cut(); stream++ {
-		other.Send(t, standin.Request(stream, "browse", fmt.Sprint(stream)))
+		other.Send(t, standin.Task(stream, "browse", fmt.Sprint(stream)))
 		assert.Equal(t, fmt.Sprint(stream), other.Next(t).Body)
 	}
 	<-done
@@ -221,7 +221,7 @@
 func TestIdleConnectionsAreAskedToGo(t *testing.T) {
 	b := newBench(t, usual())
 	busy, idle := standin.Dial(t, b.Address()), standin.Dial(t, b.Address())
-	busy.Send(t, standin.Request(1, "pay", ""))
+	busy.Send(t, standin.Task(1, "pay", ""))
 	b.pool.Next(t, "spawn")
 	b.server.Post(func() { b.CloseIdle(20 * time.Millisecond) })
 	assert.Equal(t, standin.Reply{Type: 30, Fields: map[string]string{}}, idle.Next(t))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -95,7 +95,7 @@
 }
 
 // Run dials, binds and reads until the context ends. A pool that is not there yet, or any more, is asked
-// again in growing spans, as a loop of refused connections would cost cores that requests need.
+// again in growing spans, as a loop of refused connections would cost cores that tasks need.
 func (l *Link) Run(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() {
 		l.mu.Lock()
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -98,13 +98,13 @@
 		s.touched = true
 		return t
 	}
-	s.Refuse(a.Caller, a.Stream)
+	s.DismissUnseen(a.Caller, a.Stream)
 	return nil
 }
 
-// Refuse dismisses at once what can't be understood. The module never hears of it, as there is nothing to
+// DismissUnseen dismisses at once what can't be understood. The module never hears of it, as there is nothing to
 // decide on.
-func (s *Server) Refuse(c Caller, stream uint32) {
+func (s *Server) DismissUnseen(c Caller, stream uint32) {
 	c.Answer(stream, Answer{Verdict: Dismissed, Level: s.level})
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -259,8 +259,8 @@
 // Call names the task that a test sends on a stream.
 func Call(stream uint32) string { return fmt.Sprintf("%016x", 0xabc0000+uint64(stream)) }
 
-// Request builds a request of a type; more fields stand before the usual ones and win over them.
-func Request(stream uint32, op, body string, more ...string) []byte {
+// Task builds a task of a type; more fields stand before the usual ones and win over them.
+func Task(stream uint32, op, body string, more ...string) []byte {
 	fields := append(more, "op", op, "call", Call(stream), "recv", strconv.FormatInt(time.Now().UnixMilli(), 10),
 		"src", "2", "ttl", "15000", "heap", "20.5", "crit", "0.9000")
 	return Frame(10, stream, body, fields...)
