--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -228,7 +229,7 @@
 // isCall tells whether a name is sixteen hexadecimal digits.
 func isCall(name string) bool {
 	for i := range len(name) {
-		if (name[i] < '0' || name[i] > '9') && (name[i] < 'a' || name[i] > 'f') {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", rune(name[i])) {
 			return false
 		}
 	}
