--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	go test -race ./...
 
 fuzz:
-	go test -run none -fuzz FuzzCut -fuzztime 20s ./internal/frame
+	go test -run none -fuzz FuzzCut -fuzztime 300000x ./internal/frame
+	go test -run none -fuzz FuzzLine -fuzztime 300000x ./internal/pool
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted" >&2; exit 1; fi
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"encoding/json"
 	"io"
 	"log/slog"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quartzpoint/internal/check"
+	"quartzpoint/internal/outbox"
 	"quartzpoint/internal/standin"
 )
 
@@ -167,3 +169,21 @@
 	b.next(t, Down)
 	b.next(t, Synced)
 }
+
+// Whatever JSON the pool writes, a line is one notice at most, and its number never goes back.
+func FuzzLine(f *testing.F) {
+	f.Add(`{"verb":"finished","index":1,"task":"a","outcome":"success","spent":2.5,"bytes":"aGk="}`)
+	f.Add(`{"verb":"polled","nonce":"7","readings":[1,2,3,4]}`)
+	f.Add(`{"verb":"bound","outcome":"booting","spent":0}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var told line
+		if json.Unmarshal([]byte(text), &told) != nil {
+			return
+		}
+		l := New("", 1<<20, slog.New(slog.NewTextHandler(io.Discard, nil)), func(string) {}, func() {})
+		l.out, l.read = outbox.New(1<<20), 3
+		_ = l.sort(&told) // an error ends the link, which is its purpose
+		assert.LessOrEqual(t, len(l.inbox), 2)
+		assert.GreaterOrEqual(t, l.read, uint64(3))
+	})
+}
