Give up on a call sent again while its run is on, in place of dismissing it

Now a known call that was sent to the pool is given up on; one that is still held is dismissed as before.

--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -140,11 +140,25 @@
 	for range 2 {
 		assert.Equal(t, Dismissed, b.next(t).Verdict)
 	}
-	b.ask(3, "pay", time.Minute)
-	b.ask(3, "pay", time.Minute)
+	b.Post(func() { // in one round, so that the first is still held
+		b.ask(3, "pay", time.Minute)
+		b.ask(3, "pay", time.Minute)
+	})
 	assert.Equal(t, Dismissed, b.next(t).Verdict, "a call that is known was taken again")
 }
 
+// A call sent again while its first run is on was dismissed, which says that it never ran.
+func TestKnownCallThatRuns(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.ask(1, "pay", time.Minute)
+	b.pool.Next(t, "spawn")
+	b.ask(1, "pay", time.Minute)
+	assert.Equal(t, GivenUp, b.next(t).Verdict)
+	b.pool.Finish(standin.Call(1), "success", nil)
+	assert.Equal(t, Honoured, b.next(t).Verdict, "the first one is answered from its run")
+}
+
 // The due answer must not hang on the pool: neither one that is not there nor one that tells no gauges.
 func TestDueAnswersWithoutThePool(t *testing.T) {
 	for _, mute := range []bool{false, true} {
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -78,6 +78,11 @@
 		s.counts.Saw("task of an unknown type")
 	case s.tasks[a.ID] != nil:
 		s.counts.Saw("task whose call is known already")
+		if s.tasks[a.ID].active || s.tasks[a.ID].sent {
+			// A dismissal would say that this call never ran, and its caller might have it run elsewhere.
+			a.Caller.Answer(a.Stream, Answer{Verdict: GivenUp, Level: s.level})
+			return nil
+		}
 	case due && a.Waits <= 0:
 		s.counts.Saw("task without a due time")
 	case len(s.tasks) >= s.most:
