Let silent connections make room first, and pause runs in doubt before sending them again

Only whole frames count as life. - server: an at-most-once run in doubt after a lost link is paused, then goes on, or is sent again if it never began.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 fuzz:
 	go test -run none -fuzz FuzzCut -fuzztime 300000x ./internal/frame
 	go test -run none -fuzz FuzzLine -fuzztime 300000x ./internal/pool
+	go test -run none -fuzz FuzzConnection -fuzztime 20000x ./internal/front
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted" >&2; exit 1; fi
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,6 +36,7 @@
 	callRise     = 0.05             // part of it that the room gains in a quarter of a second
 	strainShare  = 0.5              // part of that room open to tasks that can do without, under strain
 	customerSpan = 10 * time.Second // over which a customer's share is judged
+	mostCallers  = 4096             // remembered; invented ones must not fill the memory
 	fewTasks     = 10               // tasks read before connections are closed by what was seen of callers
 	guess        = 6                // a type never seen is taken to need this part of its contract time
 	plan         = 0.75             // part of the time a task could wait that it is planned to wait
@@ -230,7 +231,8 @@
 
 func (c *Choice) arrived(t *Task, w Writer) {
 	t.since = c.now
-	c.unread.add(c.now, 1, float64(c.now-t.Arrived)/float64(t.Type.ContractTime))
+	// One that claims to have come long ago must not pass for a backlog of many.
+	c.unread.add(c.now, 1, min(1, float64(c.now-t.Arrived)/float64(t.Type.ContractTime)))
 	t.last = t.Arrived + t.Type.OuterLimit
 	if t.Due > 0 {
 		t.last = t.Due
@@ -241,10 +243,13 @@
 		t.wanted = min(t.last, t.Arrived+t.Type.ContractTime)
 	}
 	again := 0.0
-	if last, came := c.callers[t.Caller]; came && c.now-last < pick(c.terms, "idle", time.Duration(0)) {
+	last, came := c.callers[t.Caller]
+	if came && c.now-last < pick(c.terms, "idle", time.Duration(0)) {
 		again = 1
 	}
-	c.callers[t.Caller] = c.now
+	if came || len(c.callers) < mostCallers { // past that a caller known is taken for new, which closes sooner
+		c.callers[t.Caller] = c.now
+	}
 	c.known.add(c.now, 1, again)
 	if t.Customer < len(c.customers) {
 		c.customers[t.Customer].add(c.now, 1)
@@ -335,6 +340,9 @@
 			c.pace.take(t.onCore.Seconds()/t.Hint.Seconds(), 200)
 		}
 	}
+	if e.Outcome == Void { // what never began took no time: no sign of what others need
+		t.Type.runs.add(c.now, -t.onCore.Seconds())
+	}
 	t.settled = true
 	c.remove(t)
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -542,3 +542,25 @@
 		assert.False(t, math.IsNaN(b.level+b.limit+b.callRoom+b.callSaved+b.density(b.task("y", 0))), name)
 	}
 }
+
+// What callers invent moves no belief: an age, a number of callers, calls that the pool does not know.
+func TestInventedTasksMoveNoBelief(t *testing.T) {
+	b := newBench(map[string]any{"idle": 30 * time.Second})
+	need := b.need(b.task("real", 0))
+	for i := range 2 * mostCallers {
+		invented := b.task("invented", 0)
+		invented.Arrived, invented.Caller = b.at-10*time.Minute, uint32(i)
+		b.round(Round{Arrived: []*Task{invented}})
+	}
+	assert.LessOrEqual(t, len(b.callers), mostCallers)
+	lain := b.unread.sum(b.at)
+	assert.LessOrEqual(t, lain[1], lain[0], "old ones pass for more than they are")
+	for range 100 {
+		unknown := b.task("unknown", 0)
+		b.round(Round{Arrived: []*Task{unknown}})
+		b.at += 10 * ms
+		b.round(Round{Ended: []Ending{{Task: unknown, Outcome: Void}}})
+	}
+	assert.InDelta(t, float64(need), float64(b.need(b.task("real", 0))), float64(ms))
+	assert.False(t, b.erring)
+}
--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -268,7 +268,7 @@
 			honoured(run(3, "pay"))
 
 			kept := run(4, "browse") // the link's loss may leave its beginning in doubt
-			move() // the old address takes nothing new
+			move()                   // the old address takes nothing new
 			p.pool.Cut()
 			p.logged(t, "pool link down")
 			hup("msg=\"new configuration\"")
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -39,8 +39,6 @@
 	gone bool // the descriptor may already stand for another file
 	fd   int
 
-	beyondTable bool // there is no room for it
-
 	open    map[uint32]*server.Task // nil values never stand in it
 	highest uint32                  // stream so far; they go from 1 up, so no list of those used is needed
 	part    []byte                  // the beginning of a frame whose rest has not come
@@ -49,14 +47,17 @@
 	dirty   bool
 	dead    bool
 	retired bool
-	last    time.Duration // when it last carried something
+	spoke   bool // it has sent a frame that was understood
+	born    time.Duration
+	begun   time.Duration // when the frame that has not ended yet began, 0 without one
+	last    time.Duration // when it last carried a whole frame
 }
 
 func newConn(f *Front, link netpoll.Connection) *conn {
 	return &conn{
 		front: f, link: link, fd: link.(netpoll.Conn).Fd(),
 		open: map[uint32]*server.Task{}, out: outbox.New(mostOpen * mostAnswer),
-		last: f.server.Now(),
+		born: f.server.Now(), last: f.server.Now(),
 	}
 }
 
@@ -110,7 +111,7 @@
 // take goes through what was read. Frames are parsed in place; only the beginning of one whose rest has not
 // come is copied.
 func (c *conn) take(bytes []byte) {
-	c.last = c.front.server.Now()
+	now := c.front.server.Now()
 	if len(c.part) > 0 {
 		c.part = append(c.part, bytes...)
 		bytes = c.part
@@ -127,6 +128,7 @@
 			break
 		}
 		bytes, c.beyond = rest, f.Beyond
+		c.last, c.begun = now, 0
 		if f.Type == frame.Check {
 			c.check(f)
 		} else {
@@ -137,6 +139,11 @@
 	if len(c.part) == 0 {
 		c.part = nil // an idle connection holds no buffer
 	}
+	if len(c.part) == 0 && c.beyond == 0 {
+		c.begun = 0
+	} else if c.begun == 0 {
+		c.begun = now
+	}
 }
 
 func (c *conn) check(f frame.Frame) {
@@ -145,6 +152,7 @@
 		c.fail(err.Error())
 		return
 	}
+	c.spoke = true
 	deep, _ := fields.Get("e2e")
 	c.front.server.Check(c, f.Stream, string(deep) == "1")
 }
@@ -177,7 +185,7 @@
 	}
 	asked.Caller, asked.Stream = c, f.Stream
 	if t := c.front.server.Take(asked); t != nil {
-		c.open[f.Stream] = t
+		c.open[f.Stream], c.spoke = t, true
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,9 +20,11 @@
 	sparedSockets = 64 // descriptors that connections never take: link, reports, poller, log, runtime
 	soonFull      = 8  // from the last part of this size of the table on, the longest idle make room
 	sweepEvery    = 100 * time.Millisecond
-	retiredWait   = time.Second // for a router to close what it was asked to
-	outShare      = 8           // part of the program's memory, as a divisor, that unread answers may take
-	aheadShare    = 32          // the same, for what one connection may have sent ahead of its reading
+	retiredWait   = time.Second           // for a router to close what it was asked to
+	silentWait    = 2 * time.Second       // for the first frame of a connection, and for the end of one begun
+	newWait       = 50 * time.Millisecond // for the first frame of a connection while the table is full
+	outShare      = 8                     // part of the program's memory, as a divisor, that unread answers may take
+	aheadShare    = 32                    // the same, for what one connection may have sent ahead of its reading
 )
 
 // frontKey finds the front of a connection in its context.
@@ -61,8 +63,7 @@
 	closing  atomic.Bool
 	loop     netpoll.EventLoop
 
-	taken   atomic.Int64 // connections, those being closed included
-	most    int64
+	most    int
 	conns   []*conn
 	dirty   []*conn
 	waiting int // bytes that peers have yet to read
@@ -83,7 +84,7 @@
 	}
 	f := &Front{
 		server: s, counts: counts, log: log, listener: listener,
-		most:  int64(max(limits.Sockets-sparedSockets, limits.Sockets/2)),
+		most:  max(limits.Sockets-sparedSockets, limits.Sockets/2),
 		bound: limits.MemoryMB << 20 / outShare,
 		ahead: limits.MemoryMB << 20 / aheadShare,
 	}
@@ -108,42 +109,63 @@
 // prepare is netpoll's callback for a new connection, on the poller.
 func (f *Front) prepare(link netpoll.Connection) context.Context {
 	c := newConn(f, link)
-	c.beyondTable = f.taken.Add(1) > f.most
 	_ = link.AddCloseCallback(c.ended)
 	f.server.Post(c.join)
 	return context.WithValue(context.WithValue(context.Background(), frontKey{}, f), connKey{}, c)
 }
 
-// joined books a connection. Near the end of the table the one that has been idle longest is asked to go.
+// joined books a connection. Near the end of the table the one that is needed least is asked to go, and at the
+// end it is closed: a table full of connections that say nothing, or that asked once and stay, must not turn
+// routers away. A task that crosses the close of an idle connection is sent again by its router. It could harm
+// where more routers than the table holds are all in use; then the new one is refused, unread.
 func (f *Front) joined(c *conn) {
 	f.conns = append(f.conns, c)
-	if c.beyondTable {
-		f.counts.Saw("connection refused, table full")
-		c.close() // nothing was read from it, so nothing ran
-		return
-	}
 	if f.retired {
 		c.retire()
 		return
 	}
-	if int64(len(f.conns)) <= f.most-f.most/soonFull {
-		return
-	}
-	var idlest *conn
+	open := 0
 	for _, other := range f.conns {
-		if len(other.open) == 0 && !other.retired && (idlest == nil || other.last < idlest.last) {
-			idlest = other
+		if !other.dead {
+			open++
 		}
 	}
-	if idlest != nil && idlest != c {
+	full := open > f.most
+	if open <= f.most-f.most/soonFull {
+		return
+	}
+	switch least := f.leastNeeded(c, full); {
+	case least == nil && full:
+		f.counts.Saw("connection refused, table full")
+		c.close() // nothing was read from it, so nothing ran
+	case least == nil:
+	case full || !least.spoke:
 		f.counts.Saw("connection closed to make room")
-		idlest.retire()
+		least.close()
+	default:
+		f.counts.Saw("connection asked to go to make room")
+		least.retire()
+	}
+}
+
+// leastNeeded finds the connection that a new one may take the place of: of those that never sent a frame that
+// was understood, though they had the time for it, the oldest; without one, the one idle for longest. Those
+// asked to go already count only where the table is full.
+func (f *Front) leastNeeded(newcomer *conn, full bool) (least *conn) {
+	now := f.server.Now()
+	for _, c := range f.conns {
+		switch {
+		case c == newcomer || c.dead || len(c.open) > 0 || !c.out.Empty() || c.retired && !full:
+		case !c.spoke && now < c.born+newWait:
+		case least == nil, least.spoke && !c.spoke, least.spoke == c.spoke && c.last < least.last:
+			least = c
+		}
 	}
+	return least
 }
 
 // left books that a connection is gone.
 func (f *Front) left(c *conn) {
-	f.taken.Add(-1)
 	for i, other := range f.conns {
 		if other == c {
 			f.conns[i] = f.conns[len(f.conns)-1]
@@ -180,12 +202,17 @@
 }
 
 // sweep asks idle connections to go, and closes those that were asked and did not. Asking first means that no
-// task crosses the close; a router that does not heed it must not keep a descriptor.
+// task crosses the close; a router that does not heed it must not keep a descriptor. What says nothing, or
+// begins a frame and does not end it, goes too, whatever bytes it sends now and then.
 func (f *Front) sweep(now time.Duration) {
 	for i := len(f.conns) - 1; i >= 0; i-- {
 		c := f.conns[i]
 		switch {
-		case len(c.open) > 0:
+		case c.dead || len(c.open) > 0:
+		case !c.spoke && now >= c.born+silentWait:
+			c.fail("said nothing")
+		case c.begun > 0 && now >= c.begun+silentWait:
+			c.fail("frame not ended")
 		case c.retired && now >= c.last+retiredWait && !f.retired:
 			c.close()
 		case f.idle > 0 && now >= c.last+f.idle && !c.retired:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -28,7 +28,7 @@
 	pool *standin.Pool
 }
 
-func newBench(t *testing.T, limits server.Limits) *bench {
+func newBench(t testing.TB, limits server.Limits) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	told, err := terms.FromJSON([]byte(standin.Site))
 	require.NoError(t, err)
@@ -201,21 +201,86 @@
 	<-done
 }
 
+// speaker is a connection that has had a check answered.
+func (b *bench) speaker(t testing.TB) *standin.Router {
+	t.Helper()
+	r := standin.Dial(t, b.Address())
+	r.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+	assert.Equal(t, byte(21), r.Next(t).Type)
+	return r
+}
+
+// Hundreds that connect and say nothing filled the table and turned routers away.
 func TestTableFull(t *testing.T) {
 	limits := server.Limits{MemoryMB: 96, Sockets: 40}
 	b := newBench(t, limits)
-	var routers []*standin.Router
-	for range limits.Sockets / 2 {
+	first := b.speaker(t)
+	for range 2 * limits.Sockets {
+		standin.Dial(t, b.Address())
+		time.Sleep(newWait / 20)
+	}
+	time.Sleep(newWait)
+	busy := b.speaker(t)
+	assert.Zero(t, b.counts.Times("connection asked to go to make room"), "silent ones go before a router's idle one")
+	busy.Send(t, standin.Task(2, "pay", ""))
+	b.pool.Next(t, "spawn")
+	for range limits.Sockets {
+		b.speaker(t) // which all stay
+	}
+	b.counted(t, "connection asked to go to make room")
+	b.counted(t, "connection closed to make room")
+	assert.Equal(t, byte(30), first.Next(t).Type, "the one idle for longest is asked to go")
+	first.Closed(t)
+	b.pool.Finish(standin.Call(2), "success", []byte("kept"))
+	assert.Equal(t, "kept", busy.Next(t).Body, "one with an open task never makes room")
+
+	var all []*standin.Router
+	for stream := range uint32(limits.Sockets / 2) { // all in use
 		r := standin.Dial(t, b.Address())
-		r.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
-		assert.Equal(t, byte(21), r.Next(t).Type)
-		routers = append(routers, r)
+		r.Send(t, standin.Task(stream+100, "pay", ""))
+		all = append(all, r)
 	}
-	beyond := standin.Dial(t, b.Address())
-	beyond.Closed(t)
+	require.Eventually(t, func() bool {
+		open := make(chan int)
+		b.server.Post(func() {
+			n := 0
+			for _, c := range b.conns {
+				n += len(c.open)
+			}
+			open <- n
+		})
+		return <-open == len(all)
+	}, standin.Patience, time.Millisecond)
+	standin.Dial(t, b.Address()).Closed(t)
 	b.counted(t, "connection refused, table full")
-	b.counted(t, "connection closed to make room")
-	assert.Equal(t, byte(30), routers[0].Next(t).Type, "the one idle for longest is asked to go")
+}
+
+// What says nothing, or does not end what it began, is told so and closed in time; a byte now and then is no sign
+// of life. What has spoken before may rest.
+func TestSilentConnections(t *testing.T) {
+	b := newBench(t, usual())
+	rests := b.speaker(t)
+	silent, half, drips := standin.Dial(t, b.Address()), b.speaker(t), standin.Dial(t, b.Address())
+	began := time.Now()
+	frame := standin.Task(1, "pay", "")
+	half.Send(t, frame[:len(frame)/2])
+	go func() {
+		for i := range frame[:20] {
+			if _, err := drips.Write(frame[i : i+1]); err != nil {
+				return
+			}
+			time.Sleep(silentWait / 15)
+		}
+	}()
+	for want, r := range map[string]*standin.Router{"said nothing": silent, "frame not ended": half} {
+		got := r.Next(t)
+		assert.Equal(t, []any{byte(11), uint32(0), byte(51), want}, []any{got.Type, got.Stream, got.Code, got.Body})
+		r.Closed(t)
+	}
+	drips.Closed(t)
+	assert.GreaterOrEqual(t, time.Since(began), silentWait)
+	rests.Send(t, standin.Frame(20, 2, "", "e2e", "0"))
+	assert.Equal(t, byte(21), rests.Next(t).Type)
 }
 
 func TestIdleConnectionsAreAskedToGo(t *testing.T) {
@@ -229,3 +294,37 @@
 	b.pool.Finish(standin.Call(1), "success", []byte("kept open"))
 	assert.Equal(t, "kept open", busy.Next(t).Body)
 }
+
+// Whatever sequence of frames, or of parts of them, one connection sends: another is answered as ever, and
+// nothing is left in the tables.
+func FuzzConnection(f *testing.F) {
+	task := func(stream uint32, more ...string) []byte { return standin.Task(stream, "browse", "b", more...) }
+	f.Add(append(task(1), task(2, "heap", "-1")...), uint16(7))
+	f.Add(append(task(1), task(1)...), uint16(0))
+	f.Add(append(standin.Frame(20, 1, "", "e2e", "1"), task(3, "call", standin.Call(9))[:40]...), uint16(30))
+	f.Add(append(standin.Frame(10, 1, strings.Repeat("x", 2*frame.MostWhole)), task(2)...), uint16(9000))
+	b := newBench(f, usual())
+	b.pool.Echo = true
+	bystander, stream := b.speaker(f), uint32(1)
+	f.Fuzz(func(t *testing.T, bytes []byte, at uint16) {
+		r := standin.Dial(t, b.Address())
+		for _, part := range [][]byte{bytes[:min(int(at), len(bytes))], bytes[min(int(at), len(bytes)):]} {
+			_, _ = r.Write(part) // the server may have cut it off by then
+		}
+		stream++
+		_ = bystander.SetDeadline(time.Now().Add(standin.Patience))
+		bystander.Send(t, task(stream, "call", fmt.Sprintf("%016x", 0xdef0000+uint64(stream))))
+		for got := bystander.Next(t); got.Stream != stream; got = bystander.Next(t) {
+			require.Equal(t, byte(frame.Close), got.Type, "an answer to something else")
+		}
+		r.Close()
+		require.Eventually(t, func() bool {
+			open := make(chan int)
+			b.server.Post(func() { open <- len(b.conns) })
+			return <-open == 1
+		}, standin.Patience, time.Millisecond)
+		for len(b.pool.Commands) > 0 {
+			<-b.pool.Commands
+		}
+	})
+}
--- a/internal/server/checks.go
+++ b/internal/server/checks.go
@@ -17,10 +17,11 @@
 		return
 	}
 	s.checkNonce++
-	if len(s.checks) >= mostChecks || !s.link.Verify(s.checkNonce) {
+	if len(s.checks) >= mostChecks {
 		c.Checked(stream, false, s.level)
 		return
 	}
+	s.link.Verify(s.checkNonce) // without a link it is asked for as soon as there is one
 	s.checks = append(s.checks, deepCheck{c, stream, s.checkNonce, s.Now() + verifyWait})
 }
 
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	switch n.Kind {
 	case pool.Polled:
 		s.polled = n.Nonce
+		s.resume(n.Nonce)
 		s.terms.Gauges(&s.gauges, n.Readings)
 		s.fresh = s.fresh || s.asked > 0 && n.Nonce >= s.asked
 	case pool.Finished:
@@ -49,6 +51,10 @@
 		s.counts.Saw("end of a run nobody asked for")
 		return
 	}
+	if t.doubt == asked && n.Outcome == "interrupted" && !t.answered {
+		t.doubt = paused // not its end: it stands still and waits for resume
+		return
+	}
 	outcome, known := outcomes[n.Outcome]
 	if !known {
 		s.counts.Saw("end of a run with an unknown outcome")
@@ -73,6 +79,8 @@
 }
 
 // unknown takes that the pool did not carry out a command. A run it does not know has not begun and will not.
+// That tells of a caller who invents calls, and nothing of this server: as a broken run it would count against
+// its health, and as a quick one make all tasks of the type look short.
 func (s *Server) unknown(n *pool.Notice) {
 	if n.Outcome != "spawn" {
 		s.counts.Saw("pool did not carry out a command")
@@ -80,13 +88,14 @@
 	}
 	s.counts.Saw("pool did not carry out a spawn")
 	if t := s.tasks[n.Task]; t != nil && t.active {
-		s.end(t, choice.Broken, 0, nil)
+		s.end(t, choice.Void, 0, nil)
 	}
 }
 
 // linkDown marks the runs of which the pool may or may not have been told: those given after the last poll
 // that it answered.
 func (s *Server) linkDown() {
+	s.doubts = s.doubts[:0]
 	for _, t := range s.tasks { // each for itself, so the order decides nothing
 		if t.active && t.sent && t.mark > s.polled {
 			t.unsure = true
@@ -96,9 +105,9 @@
 
 // linkSynced makes good what the link's loss left open. All notices up to now have been read, so a run that
 // is still open runs, or never came to the pool. What was never sent is sent now. What may have been sent is
-// sent again where a second run does no harm; the pool takes no notice of it while the first runs. A task
-// that must not run twice is given up on instead: its run might end just while it is sent again. That gives
-// away a task that never ran where the link broke in the few milliseconds before the pool read it.
+// sent again where a second run does no harm; the pool takes no notice of it while the first runs. The run of a
+// task that must not run twice might end just while it is sent again. So it is paused first, where the site
+// pauses runs, and sent again in resume; elsewhere it is given up on.
 func (s *Server) linkSynced() {
 	var open []*Task
 	for _, t := range s.tasks {
@@ -109,19 +118,85 @@
 	slices.SortFunc(open, func(a, b *Task) int {
 		return cmp.Or(cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.id, b.id))
 	})
+	pauses := s.terms.Values["halt"] == "suspend"
 	for _, t := range open {
 		switch {
-		case !t.sent && !t.answered, t.unsure && !t.answered && t.Type.Repeats == choice.Reissuable:
+		case !t.sent && t.answered:
+			s.end(t, choice.Stopped, 0, nil)
+		case !t.sent, t.unsure && !t.answered && t.Type.Repeats == choice.Reissuable:
 			t.sent, t.unsure = false, false
 			s.spawn(t)
-		case !t.sent:
-			s.end(t, choice.Void, 0, nil)
+		case t.unsure && !t.answered && pauses:
+			s.link.Suspend(t.id)
+			if t.doubt == none {
+				t.doubt = asked
+			}
+			s.doubts = append(s.doubts, t)
 		case t.unsure:
 			s.counts.Saw("run not known to have begun, given up on")
 			s.link.Suspend(t.id)
 			s.end(t, choice.Broken, 0, nil)
 		}
 	}
+	if len(s.doubts) > 0 {
+		s.settled, _ = s.link.Poll()
+		if s.settled == 0 { // lost again meanwhile
+			s.settled = math.MaxUint64
+		}
+	}
+	for _, c := range s.checks { // the work of one that went with the link is asked for again
+		s.link.Verify(c.nonce)
+	}
+}
+
+// resume goes on with runs in doubt once the pool has read that they are to be paused: each has ended, and that
+// was told before, or stands still, or never began. So none can end while it is sent again. Nothing is sent
+// behind proceed, as from there on it may.
+func (s *Server) resume(answered uint64) {
+	if len(s.doubts) == 0 || answered < s.settled {
+		return
+	}
+	for _, t := range s.doubts {
+		stands := t.doubt == paused
+		t.doubt, t.unsure = none, false
+		switch {
+		case !t.active:
+		case t.answered && stands:
+			s.end(t, choice.Stopped, 0, nil) // no further end will be told
+		case t.answered:
+		case stands:
+			t.mark = s.link.Next()
+			t.unsure = !s.link.Proceed(t.id) // lost again: in doubt still
+		default:
+			s.counts.Saw("run not known to have begun, sent again")
+			t.sent = false
+			s.spawn(t)
+			s.link.Proceed(t.id) // no harm to one that runs; it goes on where an earlier proceed was lost
+			t.sent, t.unsure = true, !t.sent
+		}
+	}
+	clear(s.doubts)
+	s.doubts = s.doubts[:0]
+}
+
+// overdue ends runs that were answered long ago and whose end was never told, as its notice was lost or could
+// not be read. Without it they would stay in the tables, and under the limit, for as long as the process runs.
+func (s *Server) overdue(now time.Duration) {
+	if now < s.looked+time.Second {
+		return
+	}
+	s.looked = now
+	var lost []*Task
+	for _, t := range s.tasks {
+		if t.active && t.answered && now > t.Arrived+2*t.Type.OuterLimit {
+			lost = append(lost, t)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *Task) int { return cmp.Compare(a.id, b.id) })
+	for _, t := range lost {
+		s.counts.Saw("end of a run never told")
+		s.end(t, choice.Stopped, 0, nil)
+	}
 }
 
 // spawn has the pool run a task, or notes that it could not be told.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -59,6 +59,9 @@
 	asked     uint64        // nonce of the alarm's poll, 0 without one
 	askedLate time.Duration // when its round comes all the same
 	polled    uint64        // nonce of the last poll answered
+	doubts    []*Task       // paused, to be sent again once the poll behind that is answered
+	settled   uint64        // nonce of that poll
+	looked    time.Duration // for ends that were never told
 
 	good, fromStore bool
 	level           string
@@ -169,6 +172,7 @@
 		now := s.Now()
 		s.alarm(now)
 		s.dueChecks(now)
+		s.overdue(now)
 		if s.touched {
 			s.decide(now)
 		}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -43,9 +43,11 @@
 func (b *bench) Retire()                               { b.retired = true }
 func (b *bench) Open() int                             { return 0 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T) *bench { return newBenchAt(t, standin.Site) }
+
+func newBenchAt(t *testing.T, site string) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	told, err := terms.FromJSON([]byte(standin.Site))
+	told, err := terms.FromJSON([]byte(site))
 	require.NoError(t, err)
 	b := &bench{
 		pool: standin.NewPool(t), counts: check.New(log), left: make(chan struct{}),
@@ -197,7 +199,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newBenchAt(t, strings.Replace(standin.Site, `"halt":"suspend"`, `"halt":"abort"`, 1))
 			b.pool.Ready()
 			b.pool.Next(t, "bind")
 			b.bound(t)
@@ -231,6 +233,37 @@
 	}
 }
 
+// Where runs can be paused, an at-most-once task whose beginning is in doubt is not given away: it is paused, so
+// that it can't end meanwhile, and sent again, whether or not the pool had read it.
+func TestLinkLostWhereRunsPause(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lost bool // the spawn, with the link
+	}{{"runs", false}, {"never begun", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.pool.Pauses, b.pool.Loses = true, c.lost
+			b.pool.Ready()
+			b.pool.Next(t, "bind")
+			b.bound(t)
+			b.pool.Silence(true)
+			b.ask(1, "pay", time.Minute)
+			b.pool.Next(t, "spawn")
+			b.pool.Cut()
+			b.pool.Loses = false
+			b.pool.Next(t, "bind")
+			b.pool.Silence(false)
+			assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
+			if c.lost {
+				assert.Equal(t, "body 1", string(b.pool.Next(t, "spawn").Body))
+			}
+			assert.Equal(t, standin.Call(1), b.pool.Next(t, "proceed").Task)
+			b.pool.Finish(standin.Call(1), "success", []byte("done"))
+			assert.Equal(t, Honoured, b.next(t).Verdict)
+		})
+	}
+}
+
 // Each lost link once set one more alarm, and each alarm the next: the rounds, and the rate at which limit and
 // level move, doubled with every loss.
 func TestLinkLostSetsNoAlarms(t *testing.T) {
@@ -256,6 +289,34 @@
 	b.pool.Say(`{"verb":"unknown","outcome":"spawn","task":"` + task + `"}` + "\n")
 	assert.Equal(t, GivenUp, b.next(t).Verdict)
 	assert.Equal(t, 2, b.counts.Times("pool did not carry out a spawn"))
+
+	// Calls that a bad client invents counted as broken runs, and closed this server's health to all.
+	for stream := range uint32(20) {
+		b.ask(100+stream, "browse", time.Minute)
+		b.pool.Say(`{"verb":"unknown","outcome":"spawn","task":"` + b.pool.Next(t, "spawn").Task + `"}` + "\n")
+		assert.Equal(t, GivenUp, b.next(t).Verdict)
+	}
+	b.Post(func() { b.Check(b, 1, false) })
+	assert.True(t, <-b.checks, "the server's health was closed")
+}
+
+// A run whose end the pool never told stayed in the tables, and under the limit, until the process ended; a task
+// whose caller says that it waits for a day was kept as long.
+func TestNothingStaysForEver(t *testing.T) {
+	site := strings.NewReplacer(`"deadline":9000000,"goal-time":8000000`, `"deadline":300000,"goal-time":300000`,
+		`"late-value":0.0`, `"late-value":0.5`).Replace(standin.Site)
+	b := newBenchAt(t, site)
+	b.pool.Loses = true
+	b.pool.Ready()
+	b.ask(1, "browse", 24*time.Hour)
+	b.pool.Next(t, "spawn")
+	assert.Equal(t, GivenUp, b.next(t).Verdict)
+	require.Eventually(t, func() bool {
+		empty := make(chan bool)
+		b.Post(func() { empty <- len(b.tasks) == 0 && len(b.owner) == 0 })
+		return <-empty
+	}, standin.Patience, time.Millisecond)
+	assert.Equal(t, 1, b.counts.Times("end of a run never told"))
 }
 
 func TestCallerGone(t *testing.T) {
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -52,8 +52,18 @@
 	sent     bool   // the pool was told to run it
 	mark     uint64 // the nonce of the first poll behind that
 	unsure   bool   // whether the pool was, is not known
+	doubt    doubt
 }
 
+// doubt is how far the sorting out of a run has come of which it is not known whether it began.
+type doubt int
+
+const (
+	none   doubt = iota
+	asked        // to pause
+	paused       // it did, so it had begun
+)
+
 // Asked is a task as a front has read it.
 type Asked struct {
 	ID     string // the same at no other task
@@ -96,7 +106,9 @@
 			id: a.ID, handler: a.Type, body: a.Body, caller: a.Caller, stream: a.Stream,
 		}
 		if a.Waits > 0 {
-			t.Due = t.Arrived + a.Waits
+			// Past its outer limit a task earns nothing, whatever a caller says it waits: held for a day, it would
+			// take part of the memory for as long.
+			t.Due = t.Arrived + min(a.Waits, kind.OuterLimit)
 		}
 		s.tasks[t.id], s.owner[&t.Task] = t, t
 		s.round.Arrived = append(s.round.Arrived, &t.Task)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -39,6 +39,8 @@
 	Address  string
 	Echo     bool // runs end at once with their body as the result
 	Mute     bool // gauges are not told on any link
+	Pauses   bool // a run told to stop stands still after that
+	Loses    bool // spawns are read and lost
 	Commands chan Command
 
 	mu       sync.Mutex
@@ -108,13 +110,18 @@
 		}
 		switch c.Verb {
 		case "spawn":
-			p.running[c.Task] = true
+			if !p.Loses {
+				p.running[c.Task] = true
+			}
 			if p.Echo {
 				p.end(c.Task, "success", c.Body)
 			}
 		case "suspend":
 			if p.running[c.Task] {
 				p.end(c.Task, "interrupted", nil)
+				if p.Pauses {
+					p.running[c.Task] = true
+				}
 			}
 		case "poll":
 			if !p.Mute && !p.silent {
