--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,8 +44,8 @@
 	median       = 0.7              // of the core time of a type's tasks, as a part of their mean
 	doubt        = 2.0              // runs' worth of trust that the long average gets beside the recent one
 	easy         = 0.05             // part of the work that may be dismissed before the level rises
-	levelRise    = 0.15             // what the level gains in a tenth of a second when all is dismissed
-	levelFall    = 0.06             // what it loses once few are dismissed or cores are free
+	levelRise    = 0.05             // what the level gains in a tenth of a second when all is dismissed
+	levelFall    = 0.02             // what it loses once few are dismissed or cores are free
 	unreadWeight = 3.0              // push of the part of the contract time that lies unread
 	faster       = 2                // times as fast as this one another server may well be
 	fullLevel    = 0.06             // dismissals ask callers not to try elsewhere over this
