--- a/cmd/quartzpoint/main.go
+++ b/cmd/quartzpoint/main.go
@@ -3,12 +3,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
@@ -53,7 +53,8 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Terms json.RawMessage `json:"settings"`
+	Terms  json.RawMessage `json:"settings"`
+	agreed map[string]any  // what Terms say
 }
 
 // told reads the configuration and the two variables that repeat a part of it.
@@ -129,7 +130,7 @@
 		differ bool
 	}{
 		{"name", n.Name != s.Name}, {"listen", n.Listen != s.Listen}, {"limits", n.Limits != s.Limits},
-		{"settings", !bytes.Equal(n.Terms, s.Terms)},
+		{"settings", !maps.Equal(agreed.Values, s.agreed)},
 	} {
 		if key.differ {
 			fixed = append(fixed, key.name)
@@ -141,8 +142,10 @@
 }
 
 func run(log *slog.Logger) error {
-	signals := make(chan os.Signal, 4) // before all else: unheard, each of them ends the process
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Before all else: unheard, each of them ends the process. Parted, so that no row of SIGHUP crowds out the notice.
+	notice, anew := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(notice, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(anew, syscall.SIGHUP)
 	s, seed, err := told()
 	if err != nil {
 		return err
@@ -154,6 +157,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	s.agreed = agreed.Values
 	counts := check.New(log)
 	limits := server.Limits{MemoryMB: s.Limits.MemoryMB, Sockets: s.Limits.Sockets}
 	owner, err := server.New(agreed, int64(seed), limits, counts, log)
@@ -182,14 +186,15 @@
 		}
 	}()
 	go func() {
-		for sign := range signals {
-			if sign == syscall.SIGHUP {
+		for {
+			select {
+			case <-anew:
 				s = s.again(link, reporter, log)
-				continue
+			case <-notice:
+				reporter.Leave()
+				within := time.Duration(s.StopMS) * time.Millisecond
+				owner.Post(func() { owner.Leave(within) })
 			}
-			reporter.Leave()
-			within := time.Duration(s.StopMS) * time.Millisecond
-			owner.Post(func() { owner.Leave(within) })
 		}
 	}()
 	log.Info("serving", "name", s.Name, "listen", s.Listen, "pool", s.Pool, "members", s.Members,
--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -223,13 +223,17 @@
 			p.pool.Ready()
 			p.logged(t, "pool link bound")
 			router := standin.Dial(t, p.address)
-			said := map[string]int{}
+			said := 0
 			hup := func(words string) {
 				t.Helper()
 				require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
-				said[words]++
-				require.Eventually(t, func() bool { return strings.Count(p.log.String(), words) == said[words] },
-					standin.Patience, time.Millisecond, words)
+				said++
+				var last []string
+				require.Eventually(t, func() bool {
+					last = strings.Split(p.log.String(), `msg="new configuration`)
+					return len(last) == said+1
+				}, standin.Patience, time.Millisecond, words)
+				assert.Contains(t, last[said], words)
 			}
 			move := func() {
 				p.pool.Move(t)
@@ -248,7 +252,7 @@
 			}
 			first := run(1, "pay")
 			move()
-			hup("msg=\"new configuration\"")
+			hup("only_with_a_restart=[]")
 			assert.Equal(t, "HB n1 UP", p.members.Next(t))
 			p.logged(t, "pool link moves")
 			honoured(first)
@@ -256,27 +260,29 @@
 
 			for _, bad := range []string{"", `{"name":"n1"`, `{}`} {
 				require.NoError(t, os.WriteFile(p.path, []byte(bad), 0o600))
-				hup("msg=\"new configuration refused")
+				hup("refused")
 			}
 			require.NoError(t, os.Remove(p.path))
-			hup("msg=\"new configuration refused")
+			hup("refused")
 			standin.Rewrite(t, p.path, p.address, "pool without port", p.members.Address, standin.Site)
-			hup("msg=\"new configuration refused")
+			hup("refused")
 			standin.Rewrite(t, p.path, "127.0.0.1:9", p.pool.Address, p.members.Address, standin.Site)
-			hup("msg=\"new configuration\"")
-			assert.NotContains(t, p.log.String(), "only_with_a_restart=[listen]", "the variable wins over the file")
+			hup("only_with_a_restart=[]") // the variable for listen wins over the file
+			changed := strings.Replace(standin.Site, `"cores":4`, `"cores":5`, 1)
+			standin.Rewrite(t, p.path, p.address, p.pool.Address, p.members.Address, changed)
+			hup("only_with_a_restart=[settings]")
 			honoured(run(3, "pay"))
 
 			kept := run(4, "browse") // the link's loss may leave its beginning in doubt
 			move()                   // the old address takes nothing new
 			p.pool.Cut()
 			p.logged(t, "pool link down")
-			hup("msg=\"new configuration\"")
+			hup("only_with_a_restart=[]")
 			honoured(kept)
 			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 			p.logged(t, "notice to leave")
 			move()
-			hup("msg=\"new configuration\"")
+			hup("only_with_a_restart=[]")
 			assert.Equal(t, "HB n1 OUT", p.members.Next(t))
 			router.Close()
 			assert.Zero(t, p.gone())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,11 +20,12 @@
 	sparedSockets = 64 // descriptors that connections never take: link, reports, poller, log, runtime
 	soonFull      = 8  // from the last part of this size of the table on, the longest idle make room
 	sweepEvery    = 100 * time.Millisecond
-	retiredWait   = time.Second           // for a router to close what it was asked to
-	silentWait    = 2 * time.Second       // for the first frame of a connection, and for the end of one begun
-	newWait       = 50 * time.Millisecond // for the first frame of a connection while the table is full
-	outShare      = 8                     // part of the program's memory, as a divisor, that unread answers may take
-	aheadShare    = 32                    // the same, for what one connection may have sent ahead of its reading
+	retiredWait   = time.Second            // for a router to close what it was asked to
+	leavingWait   = 300 * time.Millisecond // the same while leaving: those that stay for good must not hold up the end
+	silentWait    = 2 * time.Second        // for the first frame of a connection, and for the end of one begun
+	newWait       = 50 * time.Millisecond  // for the first frame of a connection while the table is full
+	outShare      = 8                      // part of the program's memory, as a divisor, that unread answers may take
+	aheadShare    = 32                     // the same, for what one connection may have sent ahead of its reading
 )
 
 // frontKey finds the front of a connection in its context.
@@ -213,7 +214,7 @@
 			c.fail("said nothing")
 		case c.begun > 0 && now >= c.begun+silentWait:
 			c.fail("frame not ended")
-		case c.retired && now >= c.last+retiredWait && !f.retired:
+		case c.retired && (now >= c.last+retiredWait || f.retired && now >= c.last+leavingWait):
 			c.close()
 		case f.idle > 0 && now >= c.last+f.idle && !c.retired:
 			c.retire()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -295,6 +295,15 @@
 	assert.Equal(t, "kept open", busy.Next(t).Body)
 }
 
+// Connections whose routers keep them for good held up the end of a server until its last moment.
+func TestLeavingClosesWhatStays(t *testing.T) {
+	b := newBench(t, usual())
+	stays := b.speaker(t)
+	b.server.Post(b.Retire)
+	assert.Equal(t, byte(30), stays.Next(t).Type)
+	stays.Closed(t)
+}
+
 // Whatever sequence of frames, or of parts of them, one connection sends: another is answered as ever, and
 // nothing is left in the tables.
 func FuzzConnection(f *testing.F) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -150,17 +150,20 @@
 }
 
 func (l *Link) dial(ctx context.Context) (*net.TCPConn, error) {
-	l.mu.Lock()
-	address := l.address
-	l.mu.Unlock()
 	dialer := net.Dialer{Timeout: dialWait}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := dialer.DialContext(ctx, "tcp", l.target())
 	if err != nil {
 		return nil, fmt.Errorf("pool: %w", err)
 	}
 	return c.(*net.TCPConn), nil
 }
 
+func (l *Link) target() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
 // Move has the link go on at another address of the same pool. Nothing of it waits here.
 func (l *Link) Move(address string) {
 	l.mu.Lock()
@@ -176,7 +179,7 @@
 func (l *Link) hold(ctx context.Context, socket *net.TCPConn) (next *net.TCPConn, ended error) {
 	ctx, end := context.WithCancel(ctx)
 	opened := make(chan *net.TCPConn, 1)
-	go func() { opened <- l.follow(ctx) }()
+	go func() { opened <- l.follow(ctx, socket.RemoteAddr().String()) }()
 	ended = l.serve(ctx, socket)
 	l.drop()
 	end()
@@ -188,25 +191,29 @@
 // commands that it has not read from a link once another one is bound, so the last command on the old one
 // is a poll, and until its answer none follows: then nothing is in doubt. A pool that leaves that poll
 // unanswered costs settleWait, in which tasks are held, and the doubts of a lost link.
-func (l *Link) follow(ctx context.Context) *net.TCPConn {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-l.moves:
-	}
-	for wait := firstWait; ctx.Err() == nil; wait = min(2*wait, mostWait) {
+func (l *Link) follow(ctx context.Context, from string) *net.TCPConn {
+	var again <-chan time.Time // to try a new address that did not answer
+	wait := firstWait
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.moves:
+			wait = firstWait
+		case <-again:
+			wait = min(2*wait, mostWait)
+		}
+		again = nil
+		if l.target() == from { // moved back, or a signal of the move that led here
+			continue
+		}
 		next, err := l.dial(ctx)
 		if err == nil {
 			l.settle(ctx)
 			return next
 		}
-		select {
-		case <-ctx.Done():
-		case <-l.moves:
-		case <-time.After(wait):
-		}
+		again = time.After(wait)
 	}
-	return nil
 }
 
 // settle ends a link that works behind the answer to its last poll.
