--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -10,7 +10,7 @@
 	now := s.Now()
 	s.noticed, s.stop = now, now+within-noticeDelay
 	grace, _ := s.terms.Values["grace"].(time.Duration)
-	s.retire = max(now+min(grace, 0), s.stop-lastOrders)
+	s.retire = max(now, min(now+grace, s.stop-lastOrders))
 	s.round.StopAt = s.stop
 	s.touched = true
 	s.log.Info("notice to leave", "stop_in", within, "no_more_connections_in", s.retire-now, "tasks", len(s.tasks))
