--- a/choice/choice.go
+++ b/choice/choice.go
@@ -467,7 +467,7 @@
 		usual = t.Type.ContractTime.Seconds() / guess
 	}
 	seen := t.Type.runs.sum(c.now)
-	return time.Duration((seen[0] + doubt*usual) / (seen[1] + doubt) * float64(time.Second))
+	return time.Duration((max(seen[0], 0) + doubt*usual) / (seen[1] + doubt) * float64(time.Second))
 }
 
 // weed leaves out, of the held tasks, those that cannot be honoured in time, the least important for its
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -183,12 +183,9 @@
 // CloseIdle sets for how long a connection may carry nothing.
 func (f *Front) CloseIdle(span time.Duration) { f.idle = span }
 
-// Flush writes what was answered, and now and then looks for idle connections.
+// Flush writes what was answered, and now and then looks for idle connections: behind the writing, as a
+// connection whose last task was answered in this round is idle only once that answer has left.
 func (f *Front) Flush() (written bool) {
-	if now := f.server.Now(); now >= f.swept+sweepEvery {
-		f.swept = now
-		f.sweep(now)
-	}
 	left := f.dirty[:0]
 	for _, c := range f.dirty {
 		if c.flush() {
@@ -199,7 +196,11 @@
 	}
 	clear(f.dirty[len(left):])
 	f.dirty = left
-	return len(left) == 0
+	if now := f.server.Now(); now >= f.swept+sweepEvery {
+		f.swept = now
+		f.sweep(now)
+	}
+	return len(f.dirty) == 0
 }
 
 // sweep asks idle connections to go, and closes those that were asked and did not. Asking first means that no
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -304,6 +304,20 @@
 	stays.Closed(t)
 }
 
+// An answer that came long after its connection was asked to go was closed on before it was written.
+func TestLateAnswerOnAConnectionAskedToGo(t *testing.T) {
+	b := newBench(t, usual())
+	router := standin.Dial(t, b.Address())
+	router.Send(t, standin.Task(1, "pay", ""))
+	b.pool.Next(t, "spawn")
+	b.server.Post(func() {
+		c := b.conns[0]
+		c.retired, c.last, b.swept = true, 0, 0
+		c.Answer(1, server.Answer{Verdict: server.GivenUp})
+	})
+	assert.Equal(t, byte(51), router.Next(t).Code)
+}
+
 // Whatever sequence of frames, or of parts of them, one connection sends: another is answered as ever, and
 // nothing is left in the tables.
 func FuzzConnection(f *testing.F) {
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -133,9 +133,11 @@
 			}
 			s.doubts = append(s.doubts, t)
 		case t.unsure:
-			s.counts.Saw("run not known to have begun, given up on")
+			if !t.answered {
+				s.counts.Saw("run not known to have begun, given up on")
+			}
 			s.link.Suspend(t.id)
-			s.end(t, choice.Broken, 0, nil)
+			s.end(t, choice.Stopped, 0, nil) // not broken: a lost link says nothing of this server's health
 		}
 	}
 	if len(s.doubts) > 0 {
