--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -135,10 +135,11 @@
 			c.task(f)
 		}
 	}
-	c.part = append(c.part[:0], bytes...)
-	if len(c.part) == 0 {
-		c.part = nil // an idle connection holds no buffer
+	kept := c.part[:0]
+	if len(bytes) == 0 || cap(kept) > 2*frame.MostWhole {
+		kept = nil // neither an idle connection nor one that once sent much at a time holds a buffer of that size
 	}
+	c.part = append(kept, bytes...)
 	if len(c.part) == 0 && c.beyond == 0 {
 		c.begun = 0
 	} else if c.begun == 0 {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -318,6 +318,21 @@
 	assert.Equal(t, byte(51), router.Next(t).Code)
 }
 
+// A connection that had sent much at a time kept a buffer of that size for the beginning of a frame.
+func TestBeginningsHoldNoLargeBuffer(t *testing.T) {
+	b := newBench(t, usual())
+	b.speaker(t)
+	check := standin.Frame(20, 1, "", "e2e", "0")
+	sizes := make(chan [2]int)
+	b.server.Post(func() {
+		c := b.conns[0]
+		c.take(check[:5])
+		c.take(append(append(check[5:], bytes.Repeat(check, 2000)...), check[:7]...))
+		sizes <- [2]int{len(c.part), cap(c.part) / frame.MostWhole}
+	})
+	assert.Equal(t, [2]int{7, 0}, <-sizes)
+}
+
 // Whatever sequence of frames, or of parts of them, one connection sends: another is answered as ever, and
 // nothing is left in the tables.
 func FuzzConnection(f *testing.F) {
