Stop no run where the site allows no stop: faults gone on the new sites

Now one stop() reads the site's halt and, under none, lets the run go on to its end, counted on the cores until then.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -374,8 +374,7 @@
 	case t.phase == running || t.phase == wantsCall || t.phase == calling:
 		t.settled = true
 		if t.phase == running && t.Type.Repeats == Reissuable {
-			c.enter(t, over)
-			w.Pause(t)
+			c.stop(t, w)
 		}
 	}
 }
@@ -413,14 +412,22 @@
 	w.GiveUp(t)
 	switch t.phase {
 	case running:
-		c.enter(t, over)
-		w.Pause(t)
+		c.stop(t, w)
 	case calling, wantsCall: // its memory, and its call, are given back only with the end that is told
 	default:
 		c.remove(t)
 	}
 }
 
+// stop frees the core of a run whose answer is given. Where the site allows no stop, the run goes on to its
+// end and is counted on the cores until then.
+func (c *Choice) stop(t *Task, w Writer) {
+	if pick(c.terms, "halt", "suspend") != "none" {
+		c.enter(t, over)
+		w.Pause(t)
+	}
+}
+
 // expire answers whatever has come to its last moment or can earn nothing any more, in whatever phase.
 func (c *Choice) expire(w Writer) {
 	c.all = append(append(c.all[:0], c.hold...), c.active...)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -217,6 +217,27 @@
 	})
 }
 
+// Where the site allows no stop, a Preempt is a fault that ends the day: runs that are given up or whose
+// caller left go on to their ends, and count on the cores until then.
+func TestNoStopWhereTheSiteAllowsNone(t *testing.T) {
+	for _, how := range []string{"given up", "caller gone"} {
+		t.Run(how, func(t *testing.T) {
+			b := newBench(map[string]any{"halt": "none"})
+			x := b.task("x", 0)
+			b.round(Round{Arrived: []*Task{x}})
+			if how == "caller gone" {
+				assert.Empty(t, b.round(Round{Gone: []*Task{x}}))
+			} else {
+				x.wanted = b.at + 50*ms
+				assert.Contains(t, b.pass(50*ms, Gauges{CPU: 1}), "give up x")
+			}
+			assert.NotContains(t, b.pass(time.Second, Gauges{CPU: 1}), "pause")
+			_, on := b.counts()
+			assert.Equal(t, 1.0, on, "the run still takes its core")
+		})
+	}
+}
+
 func TestNumberedTasksTakeEffectOnce(t *testing.T) {
 	b := newBench(nil)
 	x, again := b.task("x", 1), b.task("again", 1)
