Runs parked for call room leave the crowd bound; weed counts a strained call's turn

Such runs come back to the cores only by a Call placed here, so mayStart no longer counts them against the crowd bound, and placeCalls keeps the bound itself (on cores plus calls in hand). Second, weed planned a calling task as if its call took no time (Type.Waits is set only by the program): while the dependency is strained it now counts the call's time and the turn behind those parked, and such tasks are dismissed at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -471,11 +471,14 @@
 	w.Note(fmt.Sprintf("leaving: %d held, %.0f in flight", len(c.hold), in))
 }
 
+// say tells callers the level in the site's words: a rank below which they send nothing, or the part of
+// the tasks that they do not take elsewhere, which is what a level lets in where ranks are spread evenly.
 func (c *Choice) say(level float64, w Writer) {
-	if pick(c.terms, "advert", "none") == "threshold" && level != c.said {
-		w.Level(level)
+	value := map[string]float64{"threshold": level, "share_of": 1 - level}
+	if v, told := value[pick(c.terms, "advert", "none")]; told && v != c.said {
+		w.Level(v)
+		c.said = v
 	}
-	c.said = level
 }
 
 // need is the core time a task is expected to take here. Time already spent on unfinished runs counts
@@ -534,7 +537,7 @@
 			start := c.now + time.Duration(float64(ahead-need)/wide)
 			// A mean is no bound: most tasks need less, as a few very long ones make it up. Judged
 			// by the whole mean, a server with cores to spare sent away what it could have done.
-			latest := t.wanted - t.Type.Waits - time.Duration(median*float64(need))
+			latest := t.wanted - c.waits(t) - time.Duration(median*float64(need))
 			latest = min(latest, t.Arrived+time.Duration(plan*float64(latest-t.Arrived)))
 			if start <= latest || leaveOut(start-latest) == t {
 				break
@@ -558,6 +561,29 @@
 	c.kept, c.out = kept, out
 }
 
+// waits is how long a task's run is expected to stand off the cores: what the program states, or, for a type
+// that calls a strained dependency, the time of a call and the turn behind those that wait for room. Without
+// it a slow dependency let in tasks that then waited at their call until they were given up, their work
+// wasted. A dependency at ease clears its turns faster than they are counted here, hence only under strain.
+func (c *Choice) waits(t *Task) time.Duration {
+	if !t.Type.Calls || !c.strained {
+		return t.Type.Waits
+	}
+	turn := c.callTime()
+	return max(t.Type.Waits, turn+time.Duration(c.parked()/max(1, c.callRoom)*float64(turn)))
+}
+
+// parked are the runs that wait for room for their call.
+func (c *Choice) parked() float64 {
+	n := 0.0
+	for _, t := range c.active {
+		if t.phase == wantsCall {
+			n++
+		}
+	}
+	return n
+}
+
 // density is the importance that a second of work earns. What a customer asks beyond its share is worth
 // little and carries no mark, so each of its tasks is taken for the mix that it is on the mean here.
 func (c *Choice) density(t *Task) float64 {
@@ -604,8 +630,9 @@
 	return kb
 }
 
-// crowdRoom is how many may be in flight without the cores ever being crowded past what the server
-// survives, even if all came back from their calls at once. A cold server is taken to be as cold as stated.
+// crowdRoom is how many may be on the cores or at a call without the cores ever being crowded past what the
+// server survives, even if all came back from their calls at once. Runs that wait for room for their call
+// come back only by a call placed here, which keeps to the same room. A cold server is taken to be as cold as stated.
 func (c *Choice) crowdRoom() float64 {
 	return crowdShare * (1 + (pick(c.terms, "crowd", 2.0)-1)*c.speed()) * c.cores
 }
@@ -621,7 +648,7 @@
 // while runs wait at calls or disk, and could harm where those all come back at once; crowdRoom bounds that.
 func (c *Choice) mayStart(t *Task) bool {
 	in, on := c.counts()
-	if in+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
+	if in-c.parked()+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
 		return false
 	}
 	// Reads share the cores with runs. When they heap up, in a burst or on a cold server, each task is old
@@ -653,7 +680,7 @@
 		return cmp.Or(cmp.Compare(b.skipLoss(), a.skipLoss()), cmp.Compare(a.wanted, b.wanted))
 	})
 	over := pick(c.terms, "calls-over", 5*time.Second).Seconds()
-	in, _ := c.counts()
+	in, on := c.counts()
 	crowd := max(1, in/c.cores)
 	for ahead, t := range waiting {
 		if t.settled {
@@ -676,7 +703,7 @@
 		if c.now < t.notBefore {
 			continue
 		}
-		if inHand+1 > max(1, c.callRoom) || c.callSaved <= 0 {
+		if inHand+1 > max(1, c.callRoom) || c.callSaved <= 0 || on+inHand+1 > c.crowdRoom() {
 			c.callsHeld = true
 			continue
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -238,6 +238,42 @@
 	}
 }
 
+// Runs that wait for room for their call come back to the cores only by a call placed here, so they leave the
+// crowd bound to others: on a slow dependency they filled it and tasks without calls were dismissed.
+func TestParkedRunsLeaveTheCrowdBound(t *testing.T) {
+	b := newBench(map[string]any{"crowd": 2.0})
+	b.callRoom, b.callSaved = 0, 0
+	room := int(b.crowdRoom())
+	var parked []*Task
+	for i := range room {
+		parked = append(parked, b.task(fmt.Sprint("p", i), 2))
+	}
+	b.round(Round{Arrived: parked})
+	for range room {
+		b.round(Round{AtCall: parked}) // no room for calls: each waits at its call, and the next starts
+	}
+	in, on := b.counts()
+	assert.Equal(t, []float64{float64(room), 0, float64(room)}, []float64{in, on, b.parked()})
+	assert.Equal(t, "start free", b.round(Round{Arrived: []*Task{b.task("free", 0)}}))
+}
+
+// While the dependency is strained, a task that calls it waits for its turn, and is dismissed at once where
+// that turn comes too late; at ease the same task is kept.
+func TestStrainedCallsCountInTheHold(t *testing.T) {
+	for _, strained := range []bool{false, true} {
+		b := newBench(nil)
+		b.called.add(b.at, 1, 3.0)
+		b.strained = strained
+		x := b.task("x", 2)
+		said := b.round(Round{Arrived: []*Task{x}})
+		if strained {
+			assert.Equal(t, "dismiss x", said, "a call of three seconds lies past its contract time")
+		} else {
+			assert.Equal(t, "start x", said)
+		}
+	}
+}
+
 func TestNumberedTasksTakeEffectOnce(t *testing.T) {
 	b := newBench(nil)
 	x, again := b.task("x", 1), b.task("again", 1)
