Weed leaves out first what can only answer late and would earn its late share alone

Now weed marks a task whose planned end passes its contract time, and its worth in the choice of what to leave out is its late share.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -515,10 +515,18 @@
 	_, on := c.counts()
 	wide := max(c.cores, on)
 	kept, out := c.kept[:0], c.out[:0]
+	// A task planned to end past its contract time earns its late share alone: where cores are short it goes
+	// before one that would still be in time. At the earlier sites nothing earned late, so this never acted.
+	earns := func(t *Task) float64 {
+		if t.late {
+			return c.density(t) * t.Type.LateShare
+		}
+		return c.density(t)
+	}
 	leaveOut := func(excess time.Duration) *Task {
 		least := 0
 		for i := range kept {
-			if c.density(kept[i]) <= c.density(kept[least]) {
+			if earns(kept[i]) <= earns(kept[least]) {
 				least = i
 			}
 		}
@@ -539,6 +547,7 @@
 			// by the whole mean, a server with cores to spare sent away what it could have done.
 			latest := t.wanted - c.waits(t) - time.Duration(median*float64(need))
 			latest = min(latest, t.Arrived+time.Duration(plan*float64(latest-t.Arrived)))
+			t.late = start+time.Duration(median*float64(need)) > t.Arrived+t.Type.ContractTime
 			if start <= latest || leaveOut(start-latest) == t {
 				break
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -274,6 +274,27 @@
 	}
 }
 
+// Where cores are short, a task that can only answer late earns its late share alone, so it is left out
+// before one of the same importance that would still be answered in time.
+func TestLateAnswersGoFirstWhereCoresAreShort(t *testing.T) {
+	b := newBench(map[string]any{
+		"cores": 1.0, "importance-by": "work", "type.0.late-share": 0.2,
+		"type.1.repeats": "reissuable", "type.1.importance": 1.0,
+	})
+	b.round(Round{Arrived: []*Task{b.task("running", 1)}})
+	var line []*Task
+	for i := range 3 {
+		old := b.task(fmt.Sprint("late", i), 0)
+		old.Arrived -= 1500 * ms
+		line = append(line, old)
+	}
+	for i := range 4 {
+		line = append(line, b.task(fmt.Sprint("fresh", i), 1))
+	}
+	said := b.round(Round{Arrived: line})
+	assert.Equal(t, "dismiss late2, dismiss late1, dismiss late0, dismiss fresh3", said, "before the fresh ones")
+}
+
 func TestNumberedTasksTakeEffectOnce(t *testing.T) {
 	b := newBench(nil)
 	x, again := b.task("x", 1), b.task("again", 1)
--- a/choice/task.go
+++ b/choice/task.go
@@ -54,6 +54,7 @@
 	since     time.Duration // start of the present phase
 	onCore    time.Duration // time on the cores so far
 	excess    time.Duration // by how much the hold was too long when it was left out
+	late      bool          // planned, when last weeded, to end after its contract time
 	refusals  int           // calls of it that did not go well
 	notBefore time.Duration // when its call may be tried again
 	calledAt  time.Duration // when its call was made
