Move halt and advert in a running server by SIGHUP, checked, and back the same way

The new deployments need settings the module now reads, halt = none and advert = share_of; the program took settings only at a restart (start.again logged only_with_a_restart=[settings]). terms.Moves parts what differs into the settings that may change in service, halt and advert, whose values are checked with the file (another value refuses it whole), and all others, which still need a restart and are now named. The owner takes the moved ones in its turn (Retune), writing the module's own copy, which it reads at each round; tasks in hand are not touched. The module's measure no longer re-stops an answered run once halt is none.

Tests: the server switches none, suspend, none with a run in hand; the run of a task whose caller left is stopped under suspend alone, nothing is begun twice, the first run is answered once after all switches (fails when Retune leaves the module's copy alone).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -422,12 +422,16 @@
 // stop frees the core of a run whose answer is given. Where the site allows no stop, the run goes on to its
 // end and is counted on the cores until then.
 func (c *Choice) stop(t *Task, w Writer) {
-	if pick(c.terms, "halt", "suspend") != "none" {
+	if c.halts() {
 		c.enter(t, over)
 		w.Pause(t)
 	}
 }
 
+// halts tells whether runs may be stopped. The setting may change in service; a run left on its core when it
+// did goes on to its end.
+func (c *Choice) halts() bool { return pick(c.terms, "halt", "suspend") != "none" }
+
 // expire answers whatever has come to its last moment or can earn nothing any more, in whatever phase.
 func (c *Choice) expire(w Writer) {
 	c.all = append(append(c.all[:0], c.hold...), c.active...)
@@ -762,7 +766,7 @@
 	c.callSaved = min(c.callSaved+c.callRoom*passed, c.callRoom)
 	c.weighLent(c.now)
 	for _, t := range c.active {
-		if t.phase == over {
+		if t.phase == over && c.halts() {
 			w.Pause(t) // a stop has no effect while the cores stand still
 		}
 		c.enter(t, t.phase)
--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -251,10 +251,23 @@
 			hup("only_with_a_restart=[]") // the variable for listen wins over the file
 			changed := strings.Replace(standin.Site, `"cores":4`, `"cores":5`, 1)
 			standin.Rewrite(t, p.path, p.address, p.pool.Address, p.members.Address, changed)
-			hup("only_with_a_restart=[settings]")
+			hup(`only_with_a_restart="[settings cores]"`)
 			honoured(run(3, "pay"))
+			// Settings that move in service, there and back by the same step; a run in hand across both.
+			across := run(4, "browse")
+			for _, halt := range []string{"none", "suspend"} {
+				moved := strings.Replace(standin.Site, `"halt":"suspend"`, `"halt":"`+halt+`"`, 1)
+				standin.Rewrite(t, p.path, p.address, p.pool.Address, p.members.Address, moved)
+				hup("moved=map[halt:" + halt + "] only_with_a_restart=[]")
+				p.logged(t, "msg=\"setting moved\" setting=halt value="+halt)
+			}
+			wrong := strings.Replace(standin.Site, `"halt":"suspend"`, `"halt":"later"`, 1)
+			standin.Rewrite(t, p.path, p.address, p.pool.Address, p.members.Address, wrong)
+			hup("refused")
+			honoured(across)
+			standin.Rewrite(t, p.path, p.address, p.pool.Address, p.members.Address, standin.Site)
 
-			kept := run(4, "browse") // the link's loss may leave its beginning in doubt
+			kept := run(5, "browse") // the link's loss may leave its beginning in doubt
 			move()                   // the old address takes nothing new
 			p.pool.Cut()
 			p.logged(t, "pool link down")
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"os/signal"
 	"runtime"
@@ -53,7 +54,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	s.agreed = agreed.Values
+	s.agreed = maps.Clone(agreed.Values) // the owner writes its own when settings move
 	counts := check.New(log)
 	owner, err := server.New(agreed, int64(seed), s.bounds(), counts, log)
 	if err != nil {
@@ -99,7 +100,7 @@
 		for {
 			select {
 			case <-anew:
-				s = s.again(link, reporter, log)
+				s = s.again(link, reporter, owner, log)
 				exchanging.again(log)
 			case <-notice:
 				reporter.Leave()
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	"quartzpoint/internal/membership"
 	"quartzpoint/internal/pool"
@@ -78,9 +79,10 @@
 }
 
 // again reads the configuration anew, sees that the whole of it could be started with, and then applies what
-// can change while tasks run: the two addresses, and the time to the stop. It gives what is in force from then
-// on; a file that is missing, half written or wrong changes nothing.
-func (s start) again(link *pool.Link, reporter *membership.Reporter, log *slog.Logger) start {
+// can change while tasks run: the two addresses, the time to the stop, and the settings that terms.Moves
+// names, which the owner takes in its turn. It gives what is in force from then on; a file that is missing,
+// half written or wrong changes nothing.
+func (s start) again(link *pool.Link, reporter *membership.Reporter, owner *server.Server, log *slog.Logger) start {
 	refuse := func(err error) start {
 		log.Warn("new configuration refused, the old one stays", "error", err)
 		return s
@@ -107,19 +109,26 @@
 	if n.Pool != s.Pool {
 		link.Move(n.Pool)
 	}
+	moved, settings := terms.Moves(s.agreed, agreed.Values)
 	var fixed []string
 	for _, key := range []struct {
 		name   string
 		differ bool
 	}{
 		{"name", n.Name != s.Name}, {"listen", n.Listen != s.Listen}, {"limits", n.Limits != s.Limits},
-		{"settings", !maps.Equal(agreed.Values, s.agreed)},
+		{"settings " + strings.Join(settings, ","), len(settings) > 0},
 	} {
 		if key.differ {
 			fixed = append(fixed, key.name)
 		}
 	}
-	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "stop_ms", n.StopMS, "only_with_a_restart", fixed)
+	if len(moved) > 0 {
+		s.agreed = maps.Clone(s.agreed) // the owner's copy is its own; this one tells what was asked last
+		maps.Copy(s.agreed, moved)
+		owner.Post(func() { owner.Retune(moved) })
+	}
+	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "stop_ms", n.StopMS, "moved", moved,
+		"only_with_a_restart", fixed)
 	s.Pool, s.Members, s.StopMS = n.Pool, n.Members, n.StopMS
 	return s
 }
--- /dev/null
+++ b/internal/server/retune.go
@@ -0,0 +1,16 @@
+package server
+
+import (
+	"maps"
+	"slices"
+)
+
+// Retune takes settings that may change in service (terms.Moves), in the owner's turn. Module and server read
+// them at each decision, so the next round decides by them; what was taken in stays as it was, answered once.
+// The way back is the same step with the earlier values.
+func (s *Server) Retune(moved map[string]any) {
+	for _, name := range slices.Sorted(maps.Keys(moved)) {
+		s.terms.Values[name], s.values[name] = moved[name], moved[name]
+		s.log.Info("setting moved", "setting", name, "value", moved[name])
+	}
+}
--- /dev/null
+++ b/internal/server/retune_test.go
@@ -0,0 +1,46 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Settings that move in service hold from the next round on, both ways, and what was taken in before stays
+// answered once: the run of a task whose caller left is stopped where the site stops runs and left to its end
+// where it doesn't, and no run is begun twice.
+func TestSettingsMoveInService(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.pool.Next(t, "bind")
+	b.bound(t)
+	b.ask(1, "browse", time.Minute) // taken in before the first switch, answered after the last
+	first := b.pool.Next(t, "spawn")
+	for i, halt := range []string{"none", "suspend", "none"} {
+		id := fmt.Sprint("gone-", i)
+		var task *Task
+		b.Post(func() {
+			b.Retune(map[string]any{"halt": halt})
+			task = b.Take(Asked{ID: id, Type: "browse", HeldKB: 1, Came: time.Now().UnixMilli(), Waits: time.Minute, Caller: b})
+		})
+		assert.Equal(t, id, b.pool.Next(t, "spawn").Task)
+		b.Post(func() { b.Gone(task) })
+		stopped := false
+		for waited := time.After(200 * time.Millisecond); waited != nil; {
+			select {
+			case c := <-b.pool.Commands:
+				assert.NotEqual(t, "spawn", c.Verb, "begun once only")
+				stopped = stopped || c.Verb == "suspend" && c.Task == id
+			case <-waited:
+				waited = nil
+			}
+		}
+		assert.Equal(t, halt == "suspend", stopped, "stopped under %s", halt)
+	}
+	b.pool.Finish(first.Task, "success", []byte("done"))
+	got := b.next(t)
+	assert.Equal(t, []any{uint32(1), Honoured}, []any{got.stream, got.Verdict})
+	assert.Empty(t, b.answers, "one answer each, and none for those whose callers left")
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -48,6 +48,7 @@
 type Server struct {
 	module *choice.Choice
 	terms  *terms.Terms
+	values map[string]any // the module's own copy of the terms, which it reads at each decision
 	types  map[string]*choice.TrafficType
 	link   Pool
 	parts  Composer // of tasks that are made of calls
@@ -142,7 +143,7 @@
 	if !limits.Calls {
 		values["calls-share"] = unbounded // the composer keeps to what its dependencies survive
 	}
-	s.module = choice.New(values, seed)
+	s.module, s.values = choice.New(values, seed), values
 	if len(s.module.Types) != len(s.types) {
 		return nil, fmt.Errorf("%d traffic types stated, %d of them named", len(s.module.Types), len(s.types))
 	}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -135,7 +135,10 @@
 		return nil, fmt.Errorf("settings: more than one JSON value")
 	}
 	t := &Terms{Values: map[string]any{}}
-	return t, t.walk("", tree)
+	if err := t.walk("", tree); err != nil {
+		return nil, err
+	}
+	return t, t.check()
 }
 
 // walk goes down the nested form and takes each value by the path that it has in the flat form.
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -74,3 +74,33 @@
 		assert.ErrorContains(t, err, want, text)
 	}
 }
+
+func TestMovingSettingsAreChecked(t *testing.T) {
+	cases := []struct {
+		name, halt, fault string
+	}{
+		{"stated and known", `"halt":"none"`, ""},
+		{"not stated", `"tick":5000`, ""},
+		{"unknown", `"halt":"later"`, "setting halt: later is none of [none abort suspend]"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := FromJSON([]byte(`{"extra":{` + c.halt + `}}`))
+			if c.fault == "" {
+				assert.NoError(t, err)
+			} else {
+				assert.EqualError(t, err, c.fault)
+			}
+		})
+	}
+}
+
+func TestMovesPartsWhatMayChangeInService(t *testing.T) {
+	was := map[string]any{"halt": "suspend", "advert": "threshold", "cores": 4.0, "grace": time.Second}
+	moved, fixed := Moves(was, map[string]any{"halt": "none", "cores": 4.0, "grace": 2 * time.Second})
+	assert.Equal(t, map[string]any{"halt": "none", "advert": "none"}, moved, "one no longer stated goes back")
+	assert.Equal(t, []string{"grace"}, fixed)
+	moved, fixed = Moves(was, was)
+	assert.Empty(t, moved)
+	assert.Empty(t, fixed)
+}
