--- a/choice/choice.go
+++ b/choice/choice.go
@@ -193,7 +193,7 @@
 	}
 	if r.Gauges != nil {
 		c.gauges = *r.Gauges
-		_, on := c.counts()
+		_, on, _ := c.counts()
 		c.reads = min(c.gauges.Crowd-on, c.cores) // one a core at a time
 		c.measure(w)
 		w.Wake(sweep)
@@ -419,8 +419,8 @@
 	}
 }
 
-// stop frees the core of a run whose answer is given. Where the site allows no stop, the run goes on to its
-// end and is counted on the cores until then.
+// stop frees the core of a run whose answer is given, where the site allows stops (which may change in
+// service); elsewhere the run goes on to its end and counts on the cores until then.
 func (c *Choice) stop(t *Task, w Writer) {
 	if c.halts() {
 		c.enter(t, over)
@@ -428,8 +428,6 @@
 	}
 }
 
-// halts tells whether runs may be stopped. The setting may change in service; a run left on its core when it
-// did goes on to its end.
 func (c *Choice) halts() bool { return pick(c.terms, "halt", "suspend") != "none" }
 
 // expire answers whatever has come to its last moment or can earn nothing any more, in whatever phase.
@@ -459,7 +457,7 @@
 		return
 	}
 	c.level = levelMost
-	for in, _ := c.counts(); len(c.hold) > 0 && in+float64(len(c.hold)) > 1; {
+	for in, _, _ := c.counts(); len(c.hold) > 0 && in+float64(len(c.hold)) > 1; {
 		c.dismiss(c.hold[len(c.hold)-1], w)
 	}
 }
@@ -471,7 +469,7 @@
 	for _, t := range slices.Concat(c.hold, c.active) {
 		t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
 	}
-	in, _ := c.counts()
+	in, _, _ := c.counts()
 	w.Note(fmt.Sprintf("leaving: %d held, %.0f in flight", len(c.hold), in))
 }
 
@@ -516,21 +514,13 @@
 			ahead += max(need-t.onCore, need/2)
 		}
 	}
-	_, on := c.counts()
+	_, on, _ := c.counts()
 	wide := max(c.cores, on)
 	kept, out := c.kept[:0], c.out[:0]
-	// A task planned to end past its contract time earns its late share alone: where cores are short it goes
-	// before one that would still be in time. At the earlier sites nothing earned late, so this never acted.
-	earns := func(t *Task) float64 {
-		if t.late {
-			return c.density(t) * t.Type.LateShare
-		}
-		return c.density(t)
-	}
 	leaveOut := func(excess time.Duration) *Task {
 		least := 0
 		for i := range kept {
-			if earns(kept[i]) <= earns(kept[least]) {
+			if c.density(kept[i]) <= c.density(kept[least]) {
 				least = i
 			}
 		}
@@ -582,25 +572,18 @@
 	if !t.Type.Calls || !c.strained {
 		return t.Type.Waits
 	}
+	_, _, parked := c.counts()
 	turn := c.callTime()
-	return max(t.Type.Waits, turn+time.Duration(c.parked()/max(1, c.callRoom)*float64(turn)))
-}
-
-// parked are the runs that wait for room for their call.
-func (c *Choice) parked() float64 {
-	n := 0.0
-	for _, t := range c.active {
-		if t.phase == wantsCall {
-			n++
-		}
-	}
-	return n
+	return max(t.Type.Waits, turn+time.Duration(parked/max(1, c.callRoom)*float64(turn)))
 }
 
 // density is the importance that a second of work earns. What a customer asks beyond its share is worth
 // little and carries no mark, so each of its tasks is taken for the mix that it is on the mean here.
 func (c *Choice) density(t *Task) float64 {
 	worth := t.Type.Importance
+	if t.late { // planned to end past its contract time: it goes before one that would still be in time
+		worth *= t.Type.LateShare
+	}
 	if t.Customer < len(c.customers) {
 		rate := "customer." + strconv.Itoa(t.Customer) + ".rate"
 		share := pick(c.terms, rate, math.Inf(1)) / pick(c.terms, "servers", 1.0)
@@ -614,8 +597,8 @@
 	return worth / c.need(t).Seconds()
 }
 
-// counts are the tasks in flight, and those of them on the cores.
-func (c *Choice) counts() (in, on float64) {
+// counts are the tasks in flight, those of them on the cores, and those that wait for room for their call.
+func (c *Choice) counts() (in, on, parked float64) {
 	for _, t := range c.active {
 		if t.phase != echoing {
 			in++
@@ -623,8 +606,11 @@
 		if t.phase == running || t.phase == over {
 			on++
 		}
+		if t.phase == wantsCall {
+			parked++
+		}
 	}
-	return in, on
+	return in, on, parked
 }
 
 // used is the memory spoken for, with the reads that may come before the next round.
@@ -644,8 +630,8 @@
 }
 
 // crowdRoom is how many may be on the cores or at a call without the cores ever being crowded past what the
-// server survives, even if all came back from their calls at once. Runs that wait for room for their call
-// come back only by a call placed here, which keeps to the same room. A cold server is taken to be as cold as stated.
+// server survives, even if all came back from their calls at once; a run that waits for room for its call
+// comes back only by a call placed within it. A cold server is taken to be as cold as stated.
 func (c *Choice) crowdRoom() float64 {
 	return crowdShare * (1 + (pick(c.terms, "crowd", 2.0)-1)*c.speed()) * c.cores
 }
@@ -660,8 +646,8 @@
 // back, so with runs away at calls a server full of held work kept a sixth of its cores idle. It acts only
 // while runs wait at calls or disk, and could harm where those all come back at once; crowdRoom bounds that.
 func (c *Choice) mayStart(t *Task) bool {
-	in, on := c.counts()
-	if in-c.parked()+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
+	in, on, parked := c.counts()
+	if in-parked+1 > c.crowdRoom() || c.used()+t.HeldKB*(c.factor-1) > c.memory {
 		return false
 	}
 	// Reads share the cores with runs. When they heap up, in a burst or on a cold server, each task is old
@@ -693,7 +679,7 @@
 		return cmp.Or(cmp.Compare(b.skipLoss(), a.skipLoss()), cmp.Compare(a.wanted, b.wanted))
 	})
 	over := pick(c.terms, "calls-over", 5*time.Second).Seconds()
-	in, on := c.counts()
+	in, on, _ := c.counts()
 	crowd := max(1, in/c.cores)
 	for ahead, t := range waiting {
 		if t.settled {
