--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 # Packages that decide: no I/O, no clock, nothing that carries.
 DECIDES = ./choice ./knowledge ./budget ./recovery ./emulator ./rules ./drill ./baseline ./classpool
 
+# As deploy/balancer.toml builds: linked against the C library, which the fleet bench requires.
 build:
-	mkdir -p bin && go build -buildvcs=false -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 # The build that stops at the first thing that does not hold.
 debug:
