Read the tree of pools from the product's own file and check it whole

A fault of a whole section now names the section (pools, not pools.). Nothing decides by the pools yet; choice/ is untouched.

Tests: a tree of three read as stated with defaults; a floor out of range, an unknown key, a parent that is not there, a floor over its ceiling and a ring each refused with its words.

--- a/internal/own/own.go
+++ b/internal/own/own.go
@@ -15,6 +15,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"quartzpoint/classpool"
 )
 
 const mostFile = 1 << 20 // bytes; a larger one is not what was meant
@@ -24,8 +26,9 @@
 	Peers        *Peers // nil: no exchange of knowledge
 	Control      string // path of the socket that operators ask; empty: none
 	Dependencies []Dependency
-	Types        []Type // traffic types that are made of calls
-	State        *State // nil: nothing is kept for the server after this one
+	Types        []Type            // traffic types that are made of calls
+	State        *State            // nil: nothing is kept for the server after this one
+	Pools        []classpool.Terms // empty: no pools; read and checked, not yet used in decisions
 }
 
 // Fault is one thing that is wrong in a file.
@@ -94,6 +97,9 @@
 	if state := top.below("state"); state != nil {
 		own.State = readState(state)
 	}
+	if pools := top.below("pools"); pools != nil {
+		own.Pools = readPools(pools)
+	}
 	top.end()
 	slices.SortStableFunc(r.faults, func(a, b *Fault) int { return a.Line - b.Line })
 	if len(r.faults) > 0 {
@@ -167,8 +173,8 @@
 }
 
 func (s *section) at(key string) string {
-	if s.path == "" {
-		return key
+	if s.path == "" || key == "" { // no key: the section as a whole
+		return s.path + key
 	}
 	return s.path + "." + key
 }
--- a/internal/own/own_test.go
+++ b/internal/own/own_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"quartzpoint/classpool"
 )
 
 func TestPeers(t *testing.T) {
@@ -39,10 +41,43 @@
 	assert.Equal(t, &State{Dir: "d", Commit: commitDefault, Most: mostStateMB << 20}, got.State)
 }
 
+func TestPools(t *testing.T) {
+	got, err := Parse("x.toml", []byte(`
+[pools.booking]
+floor = 0.4
+weight = 3
+[pools.browsing]
+ceiling = 0.8
+[pools.browsing-slow]
+parent = "browsing"
+floor = 0.1
+`))
+	require.NoError(t, err)
+	assert.Equal(t, []classpool.Terms{
+		{Name: "booking", Floor: 0.4, Ceiling: 1, Weight: 3},
+		{Name: "browsing", Ceiling: 0.8, Weight: 1},
+		{Name: "browsing-slow", Parent: "browsing", Floor: 0.1, Ceiling: 1, Weight: 1},
+	}, got.Pools)
+	cases := []struct{ name, text, want string }{
+		{"a floor out of range", "[pools.a]\nfloor = 2", `x.toml:2: pools.a.floor = 2: a number from 0 to 1 is allowed`},
+		{"an unknown key", "[pools.a]\nshare = 1", `pools.a.share = 1: unknown; allowed are ceiling, floor, parent, weight`},
+		{"a parent that is not there", "[pools.a]\nparent = \"b\"", `pool "a": no pool "b"`},
+		{"a floor over the ceiling", "[pools.a]\nfloor = 0.9\nceiling = 0.5", `pool "a": floor 0.9 over its ceiling 0.5`},
+		{"a ring", "[pools.a]\nparent = \"b\"\n[pools.b]\nparent = \"a\"", `or a ring`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("x.toml", []byte(c.text))
+			require.Error(t, err)
+			assert.Contains(t, err.Error(), c.want)
+		})
+	}
+}
+
 // Each fault alone, told with file, line, key, value and what is allowed.
 func TestFaults(t *testing.T) {
 	cases := []struct{ name, text, want string }{
-		{"unknown section", "\n[pears]\n", `x.toml:2: pears = a table: unknown; allowed are control, dependencies, peers, state, types`},
+		{"unknown section", "\n[pears]\n", `x.toml:2: pears = a table: unknown; allowed are control, dependencies, peers, pools, state, types`},
 		{"unknown key", "[peers]\n\nlisten_on = 1", `x.toml:3: peers.listen_on = 1: unknown; allowed are ask, key-file, listen, total`},
 		{"no section", "peers = 3", `x.toml:1: peers = 3: a section`},
 		{"wrong type", "[peers]\ntotal = 300", `x.toml:2: peers.total = 300: a time from "10ms" to "10s" is allowed`},
