--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -125,6 +125,7 @@
 	if len(moved) > 0 {
 		s.agreed = maps.Clone(s.agreed) // the owner's copy is its own; this one tells what was asked last
 		maps.Copy(s.agreed, moved)
+		maps.DeleteFunc(s.agreed, func(_ string, v any) bool { return v == nil })
 		owner.Post(func() { owner.Retune(moved) })
 	}
 	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "stop_ms", n.StopMS, "moved", moved,
--- a/internal/server/retune_test.go
+++ b/internal/server/retune_test.go
@@ -39,6 +39,14 @@
 		}
 		assert.Equal(t, halt == "suspend", stopped, "stopped under %s", halt)
 	}
+	unstated := make(chan bool)
+	b.Post(func() {
+		b.Retune(map[string]any{"halt": nil}) // no longer stated: as at a start without it
+		_, inTerms := b.terms.Values["halt"]
+		_, inModule := b.values["halt"]
+		unstated <- !inTerms && !inModule
+	})
+	assert.True(t, <-unstated)
 	b.pool.Finish(first.Task, "success", []byte("done"))
 	got := b.next(t)
 	assert.Equal(t, []any{uint32(1), Honoured}, []any{got.stream, got.Verdict})
