Work out a strained call's wait once a weed; keep the module's settings map without a copy

weed asked waits(t) for every held task on every pass, and each time it counted all in flight and took the call time anew (two loops over what is active), though neither changes within a weed. Now weed counts once, with the counts it already made, and strainedCall gives the wait a calling task has under strain (0 at ease); the median of the need is worked out once a pass. start.again cloned the map of what was asked before writing the moved settings into it, though only the signal's goroutine holds it (serve.go clones it from the owner's at the start). Retune writes or deletes, not both.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -514,8 +514,8 @@
 			ahead += max(need-t.onCore, need/2)
 		}
 	}
-	_, on, _ := c.counts()
-	wide := max(c.cores, on)
+	_, on, parked := c.counts()
+	wide, atCall := max(c.cores, on), c.strainedCall(parked)
 	kept, out := c.kept[:0], c.out[:0]
 	leaveOut := func(excess time.Duration) *Task {
 		least := 0
@@ -539,9 +539,13 @@
 			start := c.now + time.Duration(float64(ahead-need)/wide)
 			// A mean is no bound: most tasks need less, as a few very long ones make it up. Judged
 			// by the whole mean, a server with cores to spare sent away what it could have done.
-			latest := t.wanted - c.waits(t) - time.Duration(median*float64(need))
+			waits, run := t.Type.Waits, time.Duration(median*float64(need))
+			if t.Type.Calls {
+				waits = max(waits, atCall)
+			}
+			latest := t.wanted - waits - run
 			latest = min(latest, t.Arrived+time.Duration(plan*float64(latest-t.Arrived)))
-			t.late = start+time.Duration(median*float64(need)) > t.Arrived+t.Type.ContractTime
+			t.late = start+run > t.Arrived+t.Type.ContractTime
 			if start <= latest || leaveOut(start-latest) == t {
 				break
 			}
@@ -564,17 +568,14 @@
 	c.kept, c.out = kept, out
 }
 
-// waits is how long a task's run is expected to stand off the cores: what the program states, or, for a type
-// that calls a strained dependency, the time of a call and the turn behind those that wait for room. Without
-// it a slow dependency let in tasks that then waited at their call until they were given up, their work
-// wasted. A dependency at ease clears its turns faster than they are counted here, hence only under strain.
-func (c *Choice) waits(t *Task) time.Duration {
-	if !t.Type.Calls || !c.strained {
-		return t.Type.Waits
+// strainedCall is a call's time and the turn behind those parked, that a calling task waits off the cores
+// under strain; without it such tasks waited at their call until given up. At ease turns clear faster: 0.
+func (c *Choice) strainedCall(parked float64) time.Duration {
+	if !c.strained {
+		return 0
 	}
-	_, _, parked := c.counts()
 	turn := c.callTime()
-	return max(t.Type.Waits, turn+time.Duration(parked/max(1, c.callRoom)*float64(turn)))
+	return turn + time.Duration(parked/max(1, c.callRoom)*float64(turn))
 }
 
 // density is the importance that a second of work earns. What a customer asks beyond its share is worth
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -123,8 +123,7 @@
 		}
 	}
 	if len(moved) > 0 {
-		s.agreed = maps.Clone(s.agreed) // the owner's copy is its own; this one tells what was asked last
-		maps.Copy(s.agreed, moved)
+		maps.Copy(s.agreed, moved) // what was asked last; the owner's copy is its own
 		maps.DeleteFunc(s.agreed, func(_ string, v any) bool { return v == nil })
 		owner.Post(func() { owner.Retune(moved) })
 	}
--- a/internal/server/retune.go
+++ b/internal/server/retune.go
@@ -10,10 +10,11 @@
 // The way back is the same step with the earlier values.
 func (s *Server) Retune(moved map[string]any) {
 	for _, name := range slices.Sorted(maps.Keys(moved)) {
-		s.terms.Values[name], s.values[name] = moved[name], moved[name]
 		if moved[name] == nil { // no longer stated: as at a start without it
 			delete(s.terms.Values, name)
 			delete(s.values, name)
+		} else {
+			s.terms.Values[name], s.values[name] = moved[name], moved[name]
 		}
 		s.log.Info("setting moved", "setting", name, "value", moved[name])
 	}
