Leases held among real servers: votes over the peer exchange, lease show, kill and stop tests

Change: the exchange talk carries a proven ballot in the place of an ask (kinds vote and voted); the giver hands it to a voter and writes the answer in its own turn. internal/leasing keeps one process's grantor and candidates in one goroutine, one sender a peer, a round every quarter lease; slog lines on grant, loss and refusal. The control socket answers lease, and 'quartzpoint lease show' prints duty, token, time left. [lease] now needs [peers] listen (its name in the fleet).

--- a/cmd/quartzpoint/dependencies.go
+++ b/cmd/quartzpoint/dependencies.go
@@ -14,6 +14,7 @@
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/compose"
 	"quartzpoint/internal/control"
+	"quartzpoint/internal/leasing"
 	"quartzpoint/internal/own"
 	"quartzpoint/internal/server"
 )
@@ -23,7 +24,8 @@
 // composing starts what makes tasks of calls, and the socket by which operators ask about it. What is not stated
 // is not there. Both end with the context.
 func composing(
-	ctx context.Context, ours *own.Own, memory int, seed int64, owner *server.Server, counts *check.Counts, log *slog.Logger,
+	ctx context.Context, ours *own.Own, memory int, seed int64, owner *server.Server, keeper *leasing.Keeper,
+	counts *check.Counts, log *slog.Logger,
 ) error {
 	var composer *compose.Composer
 	if len(ours.Types) > 0 {
@@ -43,6 +45,12 @@
 		return nil
 	}
 	socket, err := control.Listen(ours.Control, func(q control.Question) (any, error) {
+		if q.Ask == "lease" {
+			if keeper == nil {
+				return nil, errors.New("this server has no [lease]")
+			}
+			return keeper.Holdings(), nil
+		}
 		if q.Ask != "dependencies" {
 			return nil, fmt.Errorf("unknown question %q", q.Ask)
 		}
--- /dev/null
+++ b/cmd/quartzpoint/lease.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"quartzpoint/internal/control"
+	"quartzpoint/internal/exchange"
+	"quartzpoint/internal/leasing"
+	"quartzpoint/internal/own"
+)
+
+// leaseKeeper makes the keeper of the duties that [lease] names, or none where it names none. Its name in the
+// fleet is its address for peers, which no other server has.
+func leaseKeeper(ours *own.Own, seed int64, log *slog.Logger) (*leasing.Keeper, error) {
+	if ours.Lease == nil {
+		return nil, nil
+	}
+	var keys exchange.Keys
+	if ours.Peers.KeyFile != "" {
+		var err error
+		if keys, err = exchange.ReadKeys(ours.Peers.KeyFile); err != nil {
+			return nil, err
+		}
+	}
+	keeper, err := leasing.New(leasing.Settings{
+		Name: ours.Peers.Listen, Duties: ours.Lease.Duties, Terms: ours.Lease.Terms, Peers: ours.Peers.Ask,
+		Keys: keys, Seed: seed, Log: log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	log.Info("duties held by lease", "duties", len(ours.Lease.Duties), "voters", ours.Lease.Terms.Voters,
+		"lease", ours.Lease.Terms.Lease, "drift", ours.Lease.Terms.Drift)
+	return keeper, nil
+}
+
+// leases are the commands about duties held by lease.
+type leases struct {
+	Show leaseShowing `cmd:"" help:"Print how a running server sees its duties: whether it holds each, token, time left."`
+}
+
+// leaseShowing is the command that prints a server's duties.
+type leaseShowing struct {
+	Socket string `arg:"" help:"The server's control socket, as in its [control] socket."`
+	JSON   bool   `name:"json" help:"Print it as JSON; times in nanoseconds."`
+}
+
+// Run asks once.
+func (cmd *leaseShowing) Run() error {
+	var holdings []leasing.Holding
+	if err := control.Ask(cmd.Socket, control.Question{Ask: "lease"}, &holdings); err != nil {
+		return err
+	}
+	if cmd.JSON {
+		return printJSON(os.Stdout, holdings)
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "duty\tholds\ttoken\tleft\tits vote went to\tunder\t")
+	for _, h := range holdings {
+		holds := "no"
+		if h.Holds {
+			holds = "yes"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%v\t%s\t%d\t\n", h.Duty, holds, h.Token, h.Left.Round(time.Millisecond),
+			h.Holder, h.Newest)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/cmd/quartzpoint/lease_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/leasing"
+	"quartzpoint/internal/rig"
+)
+
+const testLease = 500 * time.Millisecond
+
+// leaseFleet starts n servers of the real binary that vote on one duty, each with a control socket.
+func leaseFleet(t *testing.T, n int) (daemons []*rig.Daemon, sockets []string) {
+	types := []rig.Type{{Name: "slot-check", Importance: 1, Contract: time.Second, Outer: 2 * time.Second, Share: 1}}
+	folder := t.TempDir()
+	addresses := make([]string, n)
+	for i := range addresses {
+		var err error
+		addresses[i], err = rig.FreeAddress()
+		require.NoError(t, err)
+	}
+	for i := range n {
+		var ask []string
+		for j, a := range addresses {
+			if j != i {
+				ask = append(ask, fmt.Sprintf("%q", a))
+			}
+		}
+		socket := filepath.Join(folder, fmt.Sprintf("s%d.sock", i))
+		own := fmt.Sprintf("[control]\nsocket = %q\n[peers]\nlisten = %q\nask = [%s]\n[lease]\nduties = [\"compact\"]\nlease = %q\n",
+			socket, addresses[i], strings.Join(ask, ", "), testLease)
+		d, err := rig.Start(builds["release"], folder, fmt.Sprintf("s%d", i), types,
+			rig.Machine{Cores: 1, Speed: 1, KB: 60000}, own)
+		require.NoError(t, err)
+		t.Cleanup(func() {
+			_ = d.Kill()
+			if t.Failed() {
+				t.Log(d.Log())
+			}
+		})
+		daemons, sockets = append(daemons, d), append(sockets, socket)
+	}
+	return daemons, sockets
+}
+
+// holding asks a server how it sees the duty, through the command line as an operator would.
+func holding(t *testing.T, socket string) (leasing.Holding, bool) {
+	out, code := ask(t, nil, "lease", "show", "--json", socket)
+	var h []leasing.Holding
+	if code != 0 || json.Unmarshal([]byte(out), &h) != nil || len(h) != 1 {
+		return leasing.Holding{}, false
+	}
+	return h[0], true
+}
+
+// holder waits until exactly one of the servers that are asked holds the duty, and names it.
+func holder(t *testing.T, sockets []string, among []int) (who int, token uint64) {
+	require.Eventually(t, func() bool {
+		who, found := -1, 0
+		for _, i := range among {
+			if h, ok := holding(t, sockets[i]); ok && h.Holds {
+				who, token = i, h.Token
+				found++
+			}
+		}
+		return found == 1 && who >= 0
+	}, 30*time.Second, 20*time.Millisecond, "no one holder")
+	for _, i := range among {
+		if h, ok := holding(t, sockets[i]); ok && h.Holds {
+			return i, h.Token
+		}
+	}
+	return -1, 0
+}
+
+func others(n, but int) (rest []int) {
+	for i := range n {
+		if i != but {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+func TestLeaseHandedOnWhenItsHolderIsKilled(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			daemons, sockets := leaseFleet(t, n)
+			first, token := holder(t, sockets, others(n, -1))
+			assert.Contains(t, daemons[first].Log(), "lease granted")
+			require.NoError(t, daemons[first].Kill())
+			killed := time.Now()
+			second, newer := holder(t, sockets, others(n, first))
+			t.Logf("%d servers: new holder after %v", n, time.Since(killed))
+			assert.NotEqual(t, first, second)
+			assert.Greater(t, newer, token, "the new holder's token is above the killed one's")
+		})
+	}
+}
+
+// A holder stopped past its lease comes back believing nothing: its clock ran while it was stopped, and the
+// token it had is older than the one the fleet granted since, which a fence refuses.
+func TestAStalledHolderWakesWithoutTheDuty(t *testing.T) {
+	daemons, sockets := leaseFleet(t, 3)
+	first, token := holder(t, sockets, others(3, -1))
+	require.NoError(t, daemons[first].Signal(syscall.SIGSTOP))
+	second, newer := holder(t, sockets, others(3, first))
+	require.NoError(t, daemons[first].Signal(syscall.SIGCONT))
+	require.Eventually(t, func() bool {
+		h, ok := holding(t, sockets[first])
+		return ok && !h.Holds
+	}, 10*time.Second, 20*time.Millisecond)
+	assert.Greater(t, newer, token)
+	h, ok := holding(t, sockets[second])
+	require.True(t, ok)
+	assert.True(t, h.Holds || h.Token > token, "the duty stays with the newer token")
+}
--- a/cmd/quartzpoint/main.go
+++ b/cmd/quartzpoint/main.go
@@ -29,6 +29,7 @@
 	Serve        serving  `cmd:"" default:"withargs" help:"Take tasks from routers and answer each of them (the default)."`
 	Check        checking `cmd:"" help:"Read both configurations whole and print every fault."`
 	Peer         peers    `cmd:"" help:"Ask running servers."`
+	Lease        leases   `cmd:"" help:"Ask running servers about duties held by lease."`
 	Dependencies asking   `cmd:"" help:"Print how a running server's dependencies stand."`
 	State        states   `cmd:"" help:"Read and tidy folders of state."`
 	Version      version  `cmd:"" help:"Print the version."`
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -520,3 +520,25 @@
 		}
 	})
 }
+
+func TestVote(t *testing.T) {
+	keys := Keys{[]byte("a shared secret of the fleet....")}
+	g, _ := giver(t, keys)
+	ctx := context.Background()
+	var refused *Refused
+	_, err := Vote(ctx, g.Address(), keys, []byte("ballot"))
+	require.ErrorAs(t, err, &refused, "a giver without a voter refuses")
+	g.SetVoter(func(ballot []byte, answer func([]byte)) { answer(append([]byte("seen "), ballot...)) })
+	got, err := Vote(ctx, g.Address(), keys, []byte("ballot"))
+	require.NoError(t, err)
+	assert.Equal(t, "seen ballot", string(got))
+	_, err = Vote(ctx, g.Address(), Keys{[]byte("another secret, not the fleet's.")}, []byte("ballot"))
+	assert.Error(t, err, "a ballot under a key the giver does not know")
+	_, err = Vote(ctx, g.Address(), keys, make([]byte, mostBallot+1))
+	assert.ErrorContains(t, err, "ballot of")
+	g.SetVoter(func([]byte, func([]byte)) {}) // never answers: the talk ends at its time
+	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	_, err = Vote(short, g.Address(), keys, []byte("ballot"))
+	assert.Error(t, err)
+}
--- a/internal/exchange/giver.go
+++ b/internal/exchange/giver.go
@@ -36,6 +36,7 @@
 	loop     netpoll.EventLoop
 	keys     atomic.Pointer[Keys]
 	shelf    atomic.Pointer[seen]
+	voter    atomic.Pointer[Voter]
 
 	mu     sync.Mutex
 	posted []func()
@@ -73,6 +74,13 @@
 	return g, nil
 }
 
+// Voter takes a proven ballot and hands it over; answer may be called once, from any goroutine, with what goes
+// back. The giver decides nothing of it.
+type Voter func(ballot []byte, answer func([]byte))
+
+// SetVoter has ballots handed to vote; without one they are refused.
+func (g *Giver) SetVoter(vote Voter) { g.voter.Store(&vote) }
+
 // Address is where the giver listens.
 func (g *Giver) Address() string { return g.listener.Addr().String() }
 
@@ -301,6 +309,10 @@
 			c.fail("peer closed: not proven, or out of its place")
 			return
 		}
+		if ballot := c.talk.ballot; ballot != nil {
+			c.talk.ballot = nil
+			out = c.vote(ballot)
+		}
 		if err := c.out.Add(out...); err != nil {
 			c.fail("peer closed: does not read")
 			return
@@ -308,3 +320,24 @@
 		c.flush()
 	}
 }
+
+// vote hands a ballot to the voter; its answer is written in the giver's turn, if the talk is still there.
+func (c *conn) vote(ballot []byte) [][]byte {
+	vote := c.giver.voter.Load()
+	if vote == nil {
+		return [][]byte{pack(message{Kind: refusal, Why: "no lease here", ComeBack: time.Second})}
+	}
+	(*vote)(ballot, func(answer []byte) {
+		c.giver.Post(func() {
+			if c.dead || len(answer) == 0 || len(answer) > mostBallot {
+				return
+			}
+			if err := c.out.Add(c.talk.voted(answer)); err != nil {
+				c.fail("peer closed: does not read")
+				return
+			}
+			c.flush()
+		})
+	})
+	return nil
+}
--- a/internal/exchange/talk.go
+++ b/internal/exchange/talk.go
@@ -34,11 +34,12 @@
 const Version = 1
 
 const (
-	mostFrame = 8 << 10  // bytes of a frame
-	mostPart  = 4 << 10  // bytes of a view in a frame
-	mostView  = 64 << 10 // bytes of a view
-	nonceSize = 16
-	leastKey  = 16 // bytes
+	mostFrame  = 8 << 10  // bytes of a frame
+	mostPart   = 4 << 10  // bytes of a view in a frame
+	mostView   = 64 << 10 // bytes of a view
+	nonceSize  = 16
+	mostBallot = 1 << 10 // bytes of a vote or its answer
+	leastKey   = 16      // bytes
 )
 
 type kind int
@@ -50,6 +51,8 @@
 	part
 	end
 	refusal
+	vote  // an ask for a lease, in the place of ask
+	voted // the answer to it
 )
 
 // message is any step of a talk.
@@ -66,6 +69,7 @@
 	Held     time.Duration `cbor:"10,keyasint,omitempty"`
 	Why      string        `cbor:"11,keyasint,omitempty"`
 	ComeBack time.Duration `cbor:"12,keyasint,omitempty"`
+	Ballot   []byte        `cbor:"13,keyasint,omitempty"` // of a vote or its answer; package lease reads it
 }
 
 var decoding = strict.Decoding(knowledge.MostTypes, false)
@@ -198,6 +202,7 @@
 	key    []byte
 	theirs []byte // nonce
 	done   bool
+	ballot []byte // of a proven vote, to be answered
 }
 
 // step takes a message and returns what is to be sent. allow is asked, with the bytes, once the asker has
@@ -227,10 +232,21 @@
 			return [][]byte{pack(message{Kind: refusal, Why: "asked too often", ComeBack: comeBack})}, nil
 		}
 		return g.answer(view, now), nil
+	case m.Kind == vote && g.theirs != nil && !g.done && len(m.Ballot) > 0 && len(m.Ballot) <= mostBallot:
+		if !proven(m.Proof, g.key, "vote", g.nonce, g.theirs, m.Ballot) {
+			return nil, errors.New("asker's proof is wrong")
+		}
+		g.done, g.ballot = true, m.Ballot
+		return nil, nil
 	}
 	return nil, errSequence
 }
 
+// voted is the frame that answers the ballot of a talk.
+func (g *gives) voted(answer []byte) []byte {
+	return pack(message{Kind: voted, Ballot: answer, Proof: sign(g.key, "voted", g.theirs, g.nonce, answer)})
+}
+
 func (g *gives) answer(view *packed, now time.Duration) (out [][]byte) {
 	number := 0
 	for rest := view.bytes; len(rest) > 0; {
@@ -305,3 +321,31 @@
 	}
 	return nil, nil, errSequence
 }
+
+// votes is the asker's side of a talk that asks for a lease.
+type votes struct {
+	key    []byte
+	nonce  []byte
+	theirs []byte
+	ballot []byte
+}
+
+// step takes a message and returns what is to be sent, or the proven answer.
+func (v *votes) step(m message) (out []byte, answer *[]byte, err error) {
+	switch {
+	case m.Kind == refusal:
+		return nil, nil, &Refused{m.Why[:min(len(m.Why), 64)], max(m.ComeBack, 0)}
+	case m.Kind == challenge && v.theirs == nil && len(m.Nonce) == nonceSize:
+		if !proven(m.Proof, v.key, "giver", v.nonce, m.Nonce) {
+			return nil, nil, errors.New("peer's proof is wrong")
+		}
+		v.theirs = m.Nonce
+		return pack(message{Kind: vote, Ballot: v.ballot, Proof: sign(v.key, "vote", v.theirs, v.nonce, v.ballot)}), nil, nil
+	case m.Kind == voted && v.theirs != nil && len(m.Ballot) > 0 && len(m.Ballot) <= mostBallot:
+		if !proven(m.Proof, v.key, "voted", v.nonce, v.theirs, m.Ballot) {
+			return nil, nil, errors.New("proof of the answer is wrong")
+		}
+		return nil, &m.Ballot, nil
+	}
+	return nil, nil, errSequence
+}
--- /dev/null
+++ b/internal/leasing/leasing.go
@@ -0,0 +1,255 @@
+// Package leasing holds duties by lease among the servers of a fleet: it carries package lease's asks and
+// answers over the peer exchange and keeps one process's grantor and candidates. It decides nothing itself:
+// who is granted, and for how long, is package lease's.
+package leasing
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quartzpoint/internal/exchange"
+	"quartzpoint/lease"
+)
+
+const (
+	mostPosted = 256 // ballots and answers that wait for the keeper's turn; more are dropped and time out
+	roundsPer  = 4   // rounds of asks within one lease, so that a holder renews three times before its end
+)
+
+// Settings are what a keeper is started with.
+type Settings struct {
+	Name   string // this server's own, which no other in the fleet has: its address for peers
+	Duties []string
+	Terms  lease.Terms
+	Peers  []string // the other voters
+	Keys   exchange.Keys
+	Seed   int64
+	Log    *slog.Logger
+}
+
+// Holding is how one duty stands as this server knows it.
+type Holding struct {
+	Duty   string        `json:"duty"`
+	Holds  bool          `json:"holds"`            // this server may act on it now
+	Token  uint64        `json:"token"`            // under which it acts, or last asked
+	Left   time.Duration `json:"left_ns"`          // of what it holds, on its own clock
+	Holder string        `json:"holder,omitempty"` // as this server's own vote last granted
+	Newest uint64        `json:"newest"`           // token its own vote last granted
+	until  time.Duration
+}
+
+// ballot is what goes in a vote and in its answer.
+type ballot struct {
+	Ask    *lease.Ask    `cbor:"1,keyasint,omitempty"`
+	Answer *lease.Answer `cbor:"2,keyasint,omitempty"`
+}
+
+// Keeper is one server's part. Its goroutine owns the grantor and the candidates; ballots from the giver and
+// answers from peers are posted to it.
+type Keeper struct {
+	settings   Settings
+	began      time.Time
+	grantor    *lease.Grantor
+	candidates []*lease.Candidate
+	held       []bool
+	heard      []string // holder last named in a refusal, so that each change is said once
+	posted     chan func()
+	asks       []chan []byte // one a peer, room for one round
+	shown      atomic.Pointer[[]Holding]
+	over       sync.WaitGroup
+}
+
+// New makes a keeper whose grantor has granted nothing: it waits out what it may have granted before a restart.
+func New(s Settings) (*Keeper, error) {
+	if err := s.Terms.Check(); err != nil {
+		return nil, err
+	}
+	if s.Terms.Voters != len(s.Peers)+1 {
+		return nil, fmt.Errorf("lease: %d voters for %d peers and this server", s.Terms.Voters, len(s.Peers))
+	}
+	k := &Keeper{
+		settings: s, began: time.Now(), grantor: lease.NewGrantor(s.Name, s.Terms),
+		held: make([]bool, len(s.Duties)), heard: make([]string, len(s.Duties)), posted: make(chan func(), mostPosted),
+	}
+	k.grantor.Restarted(k.now())
+	for i, duty := range s.Duties {
+		k.candidates = append(k.candidates, lease.NewCandidate(duty, s.Name, s.Terms, s.Seed+int64(i)))
+	}
+	for range s.Peers {
+		k.asks = append(k.asks, make(chan []byte, 1))
+	}
+	k.show()
+	return k, nil
+}
+
+// now is this process's own clock, which only runs forward: the lease's bound on drift is about its rate.
+func (k *Keeper) now() time.Duration { return time.Since(k.began) }
+
+// Vote is the giver's Voter: a ballot from a peer is considered in the keeper's turn.
+func (k *Keeper) Vote(raw []byte, answer func([]byte)) {
+	var b ballot
+	if err := cbor.Unmarshal(raw, &b); err != nil || b.Ask == nil {
+		return // the talk ends at its time; a peer that sends this is not one of ours
+	}
+	k.post(func() {
+		a := k.grantor.Consider(*b.Ask, k.now())
+		if out, err := cbor.Marshal(ballot{Answer: &a}); err == nil {
+			answer(out)
+		}
+	})
+}
+
+func (k *Keeper) post(f func()) {
+	select {
+	case k.posted <- f:
+	default: // full: the ask or answer is lost, as on the way, and the lease is made for that
+	}
+}
+
+// Holdings is how the duties stand, as last shown; any goroutine may ask.
+func (k *Keeper) Holdings() []Holding {
+	now, shown := k.now(), slices.Clone(*k.shown.Load())
+	for i := range shown {
+		shown[i].Holds = now < shown[i].until
+		shown[i].Left = max(shown[i].until-now, 0)
+	}
+	return shown
+}
+
+// Holds says whether this server may act on duty now, and under which token.
+func (k *Keeper) Holds(duty string) (lease.Token, bool) {
+	for _, h := range *k.shown.Load() {
+		if h.Duty == duty && k.now() < h.until {
+			return lease.Token(h.Token), true
+		}
+	}
+	return 0, false
+}
+
+// Run keeps the duties until ctx ends, then gives up at once what it holds.
+func (k *Keeper) Run(ctx context.Context) {
+	for i, address := range k.settings.Peers {
+		k.over.Add(1)
+		go k.ask(ctx, address, k.asks[i])
+	}
+	ticker := time.NewTicker(k.settings.Terms.Lease / roundsPer)
+	defer ticker.Stop()
+	k.round()
+	for {
+		select {
+		case <-ctx.Done():
+			for i, c := range k.candidates {
+				if k.held[i] {
+					k.grantor.Release(c.Duty, c.Name, c.Token(), k.now())
+					k.settings.Log.Info("lease given up", "duty", c.Duty, "token", c.Token(), "why", "leaving")
+				}
+				c.Lose()
+			}
+			k.show()
+			k.over.Wait()
+			return
+		case f := <-k.posted:
+			f()
+			k.look()
+		case <-ticker.C:
+			k.round()
+		}
+	}
+}
+
+// round sends each candidate's asks to this server's grantor and to every peer.
+func (k *Keeper) round() {
+	now := k.now()
+	for _, c := range k.candidates {
+		a, ok := c.Asks(now)
+		if !ok {
+			continue
+		}
+		k.heardFrom(c, k.grantor.Consider(a, now))
+		raw, err := cbor.Marshal(ballot{Ask: &a})
+		if err != nil {
+			continue
+		}
+		for _, to := range k.asks {
+			select {
+			case <-to: // an ask of an earlier round that was not sent yet is worth nothing now
+			default:
+			}
+			to <- raw
+		}
+	}
+	k.look()
+}
+
+// ask is one peer's sender: it has one talk at a time, so a peer that does not answer holds up nobody else.
+func (k *Keeper) ask(ctx context.Context, address string, asks chan []byte) {
+	defer k.over.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case raw := <-asks:
+			wait, cancel := context.WithTimeout(ctx, k.settings.Terms.Lease/roundsPer)
+			got, err := exchange.Vote(wait, address, k.settings.Keys, raw)
+			cancel()
+			var b ballot
+			if err != nil || cbor.Unmarshal(got, &b) != nil || b.Answer == nil {
+				continue // no answer is a refusal that says nothing
+			}
+			k.post(func() {
+				for _, c := range k.candidates {
+					if c.Duty == b.Answer.Duty {
+						k.heardFrom(c, *b.Answer)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (k *Keeper) heardFrom(c *lease.Candidate, a lease.Answer) {
+	c.Heard(a, k.now())
+	i := slices.Index(k.candidates, c)
+	if !a.Granted && a.Holder != "" && a.Holder != c.Name && a.Holder != k.heard[i] {
+		k.heard[i] = a.Holder
+		k.settings.Log.Info("lease refused", "duty", c.Duty, "by", a.By, "holder", a.Holder, "newest", a.Newest)
+	}
+}
+
+// look says what changed: a grant or a loss, each once.
+func (k *Keeper) look() {
+	now := k.now()
+	for i, c := range k.candidates {
+		holds := c.Holds(now)
+		switch {
+		case holds && !k.held[i]:
+			k.heard[i] = ""
+			k.settings.Log.Info("lease granted", "duty", c.Duty, "token", c.Token(), "for", c.Until()-now)
+		case !holds && k.held[i]:
+			k.settings.Log.Warn("lease lost", "duty", c.Duty, "token", c.Token(), "why", "not renewed in time")
+		}
+		k.held[i] = holds
+	}
+	k.show()
+}
+
+func (k *Keeper) show() {
+	now := k.now()
+	shown := make([]Holding, 0, len(k.candidates))
+	for _, c := range k.candidates {
+		h := Holding{Duty: c.Duty, Holds: c.Holds(now), Token: uint64(c.Token())}
+		if h.Holds {
+			h.Left, h.until = c.Until()-now, c.Until()
+		}
+		h.Holder, h.Newest = k.grantor.Granted(c.Duty)
+		shown = append(shown, h)
+	}
+	k.shown.Store(&shown)
+}
--- a/internal/own/lease.go
+++ b/internal/own/lease.go
@@ -32,8 +32,8 @@
 	if _, stated := s.values["duties"]; !stated {
 		s.fault("duties", nil, "the names of the duties held by lease are needed")
 	}
-	if peers == nil || len(peers.Ask) == 0 {
-		s.fault("", nil, "needs [peers] with the servers that vote, under ask")
+	if peers == nil || len(peers.Ask) == 0 || peers.Listen == "" {
+		s.fault("", nil, "needs [peers] with listen, where this server votes, and the servers that vote, under ask")
 	} else {
 		l.Terms.Voters = len(peers.Ask) + 1
 	}
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -138,6 +138,9 @@
 
 // Kill ends the server as a crash does, and what was started with it.
 func (d *Daemon) Kill() error {
+	if d.cmd == nil {
+		return nil // ended already: a test's cleanup may end what its body ended
+	}
 	err := d.cmd.Process.Kill()
 	<-d.gone
 	d.cmd = nil
@@ -179,9 +182,11 @@
 	}
 	if d.Workers != nil {
 		d.Workers.Close()
+		d.Workers = nil
 	}
 	if d.members != nil {
 		d.members.Close()
+		d.members = nil
 	}
 	return failed
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -193,3 +193,11 @@
 
 // Lose gives up at once what it holds, as on a notice to leave; Release tells the grantors.
 func (c *Candidate) Lose() { c.until = 0 }
+
+// Granted is the holder and token this grantor last granted for duty, as operators are shown it.
+func (g *Grantor) Granted(duty string) (holder string, token uint64) {
+	if d := g.duties[duty]; d != nil {
+		return d.holder, uint64(d.token)
+	}
+	return "", 0
+}
