Leasing sends a round's asks for all duties together to each peer

Cause: read back, round() emptied each peer's one-place channel before putting a duty's ask, so with two or more duties the ask of the first could be dropped for the second's before its sender took it (internal/leasing round, the drain inside the loop over candidates). Change: a round's asks go to each peer as one batch; the sender has one talk a ballot.

--- a/internal/leasing/leasing.go
+++ b/internal/leasing/leasing.go
@@ -61,7 +61,7 @@
 	held       []bool
 	heard      []string // holder last named in a refusal, so that each change is said once
 	posted     chan func()
-	asks       []chan []byte // one a peer, room for one round
+	asks       []chan [][]byte // one a peer, room for one round's ballots
 	shown      atomic.Pointer[[]Holding]
 	over       sync.WaitGroup
 }
@@ -83,7 +83,7 @@
 		k.candidates = append(k.candidates, lease.NewCandidate(duty, s.Name, s.Terms, s.Seed+int64(i)))
 	}
 	for range s.Peers {
-		k.asks = append(k.asks, make(chan []byte, 1))
+		k.asks = append(k.asks, make(chan [][]byte, 1))
 	}
 	k.show()
 	return k, nil
@@ -167,53 +167,62 @@
 // round sends each candidate's asks to this server's grantor and to every peer.
 func (k *Keeper) round() {
 	now := k.now()
+	var batch [][]byte
 	for _, c := range k.candidates {
 		a, ok := c.Asks(now)
 		if !ok {
 			continue
 		}
 		k.heardFrom(c, k.grantor.Consider(a, now))
-		raw, err := cbor.Marshal(ballot{Ask: &a})
-		if err != nil {
-			continue
+		if raw, err := cbor.Marshal(ballot{Ask: &a}); err == nil {
+			batch = append(batch, raw)
 		}
-		for _, to := range k.asks {
-			select {
-			case <-to: // an ask of an earlier round that was not sent yet is worth nothing now
-			default:
-			}
-			to <- raw
+	}
+	for _, to := range k.asks {
+		select {
+		case <-to: // asks of an earlier round that were not sent yet are worth nothing now
+		default:
+		}
+		if len(batch) > 0 {
+			to <- batch // the sender alone takes from it, and it was just emptied
 		}
 	}
 	k.look()
 }
 
 // ask is one peer's sender: it has one talk at a time, so a peer that does not answer holds up nobody else.
-func (k *Keeper) ask(ctx context.Context, address string, asks chan []byte) {
+func (k *Keeper) ask(ctx context.Context, address string, asks chan [][]byte) {
 	defer k.over.Done()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case raw := <-asks:
-			wait, cancel := context.WithTimeout(ctx, k.settings.Terms.Lease/roundsPer)
-			got, err := exchange.Vote(wait, address, k.settings.Keys, raw)
-			cancel()
-			var b ballot
-			if err != nil || cbor.Unmarshal(got, &b) != nil || b.Answer == nil {
-				continue // no answer is a refusal that says nothing
+		case batch := <-asks:
+			for _, raw := range batch {
+				k.send(ctx, address, raw)
 			}
-			k.post(func() {
-				for _, c := range k.candidates {
-					if c.Duty == b.Answer.Duty {
-						k.heardFrom(c, *b.Answer)
-					}
-				}
-			})
 		}
 	}
 }
 
+// send has one talk; no answer is a refusal that says nothing.
+func (k *Keeper) send(ctx context.Context, address string, raw []byte) {
+	wait, cancel := context.WithTimeout(ctx, k.settings.Terms.Lease/roundsPer)
+	got, err := exchange.Vote(wait, address, k.settings.Keys, raw)
+	cancel()
+	var b ballot
+	if err != nil || cbor.Unmarshal(got, &b) != nil || b.Answer == nil {
+		return
+	}
+	k.post(func() {
+		for _, c := range k.candidates {
+			if c.Duty == b.Answer.Duty {
+				k.heardFrom(c, *b.Answer)
+			}
+		}
+	})
+}
+
 func (k *Keeper) heardFrom(c *lease.Candidate, a lease.Answer) {
 	c.Heard(a, k.now())
 	i := slices.Index(k.candidates, c)
--- /dev/null
+++ b/internal/leasing/leasing_test.go
@@ -0,0 +1,72 @@
+package leasing
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/exchange"
+	"quartzpoint/lease"
+)
+
+// Three keepers on loopback, each with its giver, hold two duties: each duty has one holder, and both are held,
+// so that the asks of one duty do not push out those of another on the way to a peer.
+func TestEveryDutyHasOneHolder(t *testing.T) {
+	terms := lease.Terms{Lease: 300 * time.Millisecond, Drift: 0.01, Voters: 3}
+	duties := []string{"compact", "announce"}
+	var givers []*exchange.Giver
+	for range 3 {
+		began := time.Now()
+		g, err := exchange.Listen("127.0.0.1:0", nil, func() time.Duration { return time.Since(began) },
+			check.New(slog.New(slog.DiscardHandler)))
+		require.NoError(t, err)
+		g.Serve()
+		t.Cleanup(g.Close)
+		givers = append(givers, g)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var keepers []*Keeper
+	done := make(chan struct{}, 3)
+	for i, g := range givers {
+		var peers []string
+		for j, other := range givers {
+			if j != i {
+				peers = append(peers, other.Address())
+			}
+		}
+		k, err := New(Settings{Name: g.Address(), Duties: duties, Terms: terms, Peers: peers, Seed: int64(i),
+			Log: slog.New(slog.DiscardHandler)})
+		require.NoError(t, err)
+		g.SetVoter(k.Vote)
+		keepers = append(keepers, k)
+		go func() { k.Run(ctx); done <- struct{}{} }()
+	}
+	defer func() {
+		cancel()
+		for range keepers {
+			<-done
+		}
+	}()
+	holders := func(duty string) (n int) {
+		for _, k := range keepers {
+			if _, holds := k.Holds(duty); holds {
+				n++
+			}
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return holders("compact") == 1 && holders("announce") == 1 },
+		10*time.Second, 5*time.Millisecond)
+	for range 50 { // and never two, while they renew
+		assert.LessOrEqual(t, holders("compact"), 1)
+		assert.LessOrEqual(t, holders("announce"), 1)
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err := New(Settings{Name: "x", Duties: duties, Terms: terms, Peers: []string{"a"}})
+	assert.ErrorContains(t, err, "3 voters for 1 peers")
+}
