Leases across cuts between real servers, through the fault proxy

Change: the lease tests can put a faultnet proxy on every link between three real servers. The holder is cut off both ways: the two others grant the duty anew under a greater token, and the cut-off one stops holding on its own clock; healed, it does not take the duty back. Then the new holder's answers are dropped one way only: a third holder follows and the one-way holder lets go.

--- a/cmd/quartzpoint/lease_test.go
+++ b/cmd/quartzpoint/lease_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"quartzpoint/internal/faultnet"
 	"quartzpoint/internal/leasing"
 	"quartzpoint/internal/rig"
 )
@@ -20,6 +21,14 @@
 
 // leaseFleet starts n servers of the real binary that vote on one duty, each with a control socket.
 func leaseFleet(t *testing.T, n int) (daemons []*rig.Daemon, sockets []string) {
+	daemons, sockets, _ = proxiedFleet(t, n, false)
+	return daemons, sockets
+}
+
+// proxiedFleet does the same with, where asked, a fault proxy on each link: links[i][j] carries what server i
+// asks server j.
+func proxiedFleet(t *testing.T, n int, proxied bool) (daemons []*rig.Daemon, sockets []string,
+	links [][]*faultnet.Proxy) {
 	types := []rig.Type{{Name: "slot-check", Importance: 1, Contract: time.Second, Outer: 2 * time.Second, Share: 1}}
 	folder := t.TempDir()
 	addresses := make([]string, n)
@@ -28,12 +37,21 @@
 		addresses[i], err = rig.FreeAddress()
 		require.NoError(t, err)
 	}
+	links = make([][]*faultnet.Proxy, n)
 	for i := range n {
+		links[i] = make([]*faultnet.Proxy, n)
 		var ask []string
 		for j, a := range addresses {
-			if j != i {
-				ask = append(ask, fmt.Sprintf("%q", a))
+			if j == i {
+				continue
 			}
+			if proxied {
+				p, err := faultnet.New(a)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = p.Close() })
+				links[i][j], a = p, p.Addr()
+			}
+			ask = append(ask, fmt.Sprintf("%q", a))
 		}
 		socket := filepath.Join(folder, fmt.Sprintf("s%d.sock", i))
 		own := fmt.Sprintf("[control]\nsocket = %q\n[peers]\nlisten = %q\nask = [%s]\n[lease]\nduties = [\"compact\"]\nlease = %q\n",
@@ -49,7 +67,7 @@
 		})
 		daemons, sockets = append(daemons, d), append(sockets, socket)
 	}
-	return daemons, sockets
+	return daemons, sockets, links
 }
 
 // holding asks a server how it sees the duty, through the command line as an operator would.
@@ -124,3 +142,41 @@
 	require.True(t, ok)
 	assert.True(t, h.Holds || h.Token > token, "the duty stays with the newer token")
 }
+
+// The holder on the minority side of a cut loses the duty and the majority side grants it anew; healed, the
+// old holder does not take it back. Then a link cut one way only: the holder's asks arrive, the answers don't.
+func TestLeaseAcrossCuts(t *testing.T) {
+	_, sockets, links := proxiedFleet(t, 3, true)
+	apart := func(h int, cut func(*faultnet.Proxy)) {
+		for j := range links {
+			if j != h {
+				cut(links[h][j])
+				cut(links[j][h])
+			}
+		}
+	}
+	first, token := holder(t, sockets, others(3, -1))
+	apart(first, (*faultnet.Proxy).Cut)
+	second, newer := holder(t, sockets, others(3, first))
+	require.Eventually(t, func() bool {
+		h, ok := holding(t, sockets[first])
+		return ok && !h.Holds
+	}, 10*time.Second, 20*time.Millisecond, "the minority side still holds")
+	assert.Greater(t, newer, token)
+	apart(first, (*faultnet.Proxy).Heal)
+	again, _ := holder(t, sockets, others(3, -1))
+	assert.Equal(t, second, again, "the healed old holder took the duty back")
+
+	for j := range links {
+		if j != second {
+			links[second][j].Drop(faultnet.Down) // its asks go, no answer comes back
+		}
+	}
+	third, newest := holder(t, sockets, others(3, second))
+	assert.NotEqual(t, second, third)
+	assert.Greater(t, newest, newer)
+	require.Eventually(t, func() bool {
+		h, ok := holding(t, sockets[second])
+		return ok && !h.Holds
+	}, 10*time.Second, 20*time.Millisecond, "the holder cut one way still holds")
+}
