--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -27,6 +27,7 @@
 	log     *LogText
 	members net.PacketConn
 	gone    chan error
+	closed  bool // its workers and members, once
 }
 
 // LogText is what a process has logged so far.
@@ -180,13 +181,15 @@
 			failed = errors.Join(errors.New("did not leave"), <-d.gone)
 		}
 	}
+	if d.closed { // stopped before: what the workers started is still read by tests
+		return failed
+	}
+	d.closed = true
 	if d.Workers != nil {
 		d.Workers.Close()
-		d.Workers = nil
 	}
 	if d.members != nil {
 		d.members.Close()
-		d.members = nil
 	}
 	return failed
 }
