Exchange: a vote's talk opens as an ask's does, by one method

Cause: read back, votes.step repeated asks.step's handling of a refusal and of the giver's challenge line for line, and Vote wrote the hello that asks.begin makes. Change: asks.opening takes the refusal or the challenge for both; votes holds an asks for its opening. Messages, proofs and bounds are as they were. Measured: exchange, leasing and the real-binary lease tests pass as before.

--- a/internal/exchange/asker.go
+++ b/internal/exchange/asker.go
@@ -48,9 +48,9 @@
 	}
 	defer link.Close()
 	defer context.AfterFunc(ctx, func() { link.Close() })()
-	v := votes{key: keys.first(), nonce: make([]byte, nonceSize), ballot: ballot}
+	v := votes{asks: asks{key: keys.first(), nonce: make([]byte, nonceSize)}, ballot: ballot}
 	_, _ = rand.Read(v.nonce) // never fails
-	if _, err := link.Write(pack(message{Kind: hello, Nonce: v.nonce, Key: name(v.key)})); err != nil {
+	if _, err := link.Write(v.begin()); err != nil {
 		return nil, fmt.Errorf("peer %s: %w", address, err)
 	}
 	answer, err := converse(link, v.step)
--- a/internal/exchange/talk.go
+++ b/internal/exchange/talk.go
@@ -279,20 +279,34 @@
 	parts  int
 }
 
-func (a *asks) begin() []byte { return pack(message{Kind: hello, Nonce: a.nonce, Key: name(a.key)}) }
-
-// step takes a message and returns what is to be sent, or the whole view, which is older by what it was held
-// than it says.
-func (a *asks) step(m message) (out []byte, view *knowledge.View, err error) {
+// opening takes what every talk of an asker begins with, a refusal or the giver's challenge, and says whether m
+// was one of them; after a challenge it is the asker's turn.
+func (a *asks) opening(m message) (bool, error) {
 	switch {
 	case m.Kind == refusal:
-		return nil, nil, &Refused{m.Why[:min(len(m.Why), 64)], max(m.ComeBack, 0)}
+		return true, &Refused{m.Why[:min(len(m.Why), 64)], max(m.ComeBack, 0)}
 	case m.Kind == challenge && a.theirs == nil && len(m.Nonce) == nonceSize:
 		if !proven(m.Proof, a.key, "giver", a.nonce, m.Nonce) {
-			return nil, nil, errors.New("peer's proof is wrong")
+			return true, errors.New("peer's proof is wrong")
 		}
 		a.theirs = m.Nonce
+		return true, nil
+	}
+	return false, nil
+}
+
+func (a *asks) begin() []byte { return pack(message{Kind: hello, Nonce: a.nonce, Key: name(a.key)}) }
+
+// step takes a message and returns what is to be sent, or the whole view, which is older by what it was held
+// than it says.
+func (a *asks) step(m message) (out []byte, view *knowledge.View, err error) {
+	if opened, err := a.opening(m); opened {
+		if err != nil {
+			return nil, nil, err
+		}
 		return pack(message{Kind: ask, Proof: sign(a.key, "asker", a.theirs, a.nonce)}), nil, nil
+	}
+	switch {
 	case m.Kind == part && a.theirs != nil && m.Number == a.parts+1 && len(m.Bytes) > 0:
 		if a.view.Len()+len(m.Bytes) > mostView {
 			return nil, nil, fmt.Errorf("view of over %d bytes", mostView)
@@ -324,23 +338,19 @@
 
 // votes is the asker's side of a talk that asks for a lease.
 type votes struct {
-	key    []byte
-	nonce  []byte
-	theirs []byte
+	asks   // its opening, and nothing of a view
 	ballot []byte
 }
 
 // step takes a message and returns what is to be sent, or the proven answer.
 func (v *votes) step(m message) (out []byte, answer *[]byte, err error) {
-	switch {
-	case m.Kind == refusal:
-		return nil, nil, &Refused{m.Why[:min(len(m.Why), 64)], max(m.ComeBack, 0)}
-	case m.Kind == challenge && v.theirs == nil && len(m.Nonce) == nonceSize:
-		if !proven(m.Proof, v.key, "giver", v.nonce, m.Nonce) {
-			return nil, nil, errors.New("peer's proof is wrong")
+	if opened, err := v.opening(m); opened {
+		if err != nil {
+			return nil, nil, err
 		}
-		v.theirs = m.Nonce
 		return pack(message{Kind: vote, Ballot: v.ballot, Proof: sign(v.key, "vote", v.theirs, v.nonce, v.ballot)}), nil, nil
+	}
+	switch {
 	case m.Kind == voted && v.theirs != nil && len(m.Ballot) > 0 && len(m.Ballot) <= mostBallot:
 		if !proven(m.Proof, v.key, "voted", v.nonce, v.theirs, m.Ballot) {
 			return nil, nil, errors.New("proof of the answer is wrong")
