Numbered types, customers and callers gone are served; closes lose no task

A notice waited while a new configuration was read, and 's' was written beside its reading at the start: one goroutine each now. The grace and the stop run from when the notice came, not from the round that heard of it. A listener that fails no longer ends the process with tasks in hand.

All tests of crossing_test.go fail on the old code (with a seam for the listener added), as do two cases of TestBrokenConnections. That test is stricter: good tasks before the break must be answered once, and the connection must end without a reset.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -177,7 +177,7 @@
 		w.Wake(sweep)
 	}
 	if r.StopAt > 0 && c.stopAt == 0 {
-		c.leave(r.StopAt, w)
+		c.leave(r.StopAt, cmp.Or(r.Noticed, c.now), w)
 	}
 	for _, e := range r.Returned {
 		c.returned(e, w)
@@ -468,8 +468,8 @@
 }
 
 // leave makes the server ready to go: checks fail, the level shuts, and nothing is planned past the stop.
-func (c *Choice) leave(stopAt time.Duration, w Writer) {
-	c.stopAt, c.noticed = stopAt-2*sweep, c.now
+func (c *Choice) leave(stopAt, noticed time.Duration, w Writer) {
+	c.stopAt, c.noticed = stopAt-2*sweep, noticed
 	w.Health(false, true)
 	for _, t := range slices.Concat(c.hold, c.active) {
 		t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
--- a/choice/task.go
+++ b/choice/task.go
@@ -103,6 +103,7 @@
 type Round struct {
 	Now      time.Duration
 	StopAt   time.Duration // set in the round of the notice to leave: when the process is stopped
+	Noticed  time.Duration // with it, when the notice came; 0 for in this round
 	Returned []Ending      // calls that ended
 	AtCall   []*Task       // running tasks that need a call to go on
 	Ended    []Ending      // runs that ended
--- a/cmd/qplab/flat.go
+++ b/cmd/qplab/flat.go
@@ -92,7 +92,8 @@
 	go func() { _ = routers.Serve() }() // ends with the process
 	go func() {
 		<-notice
-		owner.Post(func() { owner.Leave(time.Duration(s.StopMS) * time.Millisecond) })
+		came := owner.Now()
+		owner.Post(func() { owner.Leave(came, time.Duration(s.StopMS)*time.Millisecond) })
 	}()
 	log.Info("serving", "listen", s.Listen)
 	owner.Run()
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -105,32 +106,34 @@
 			failed <- err
 		}
 	}()
+	log.Info("serving", "name", s.Name, "listen", s.Listen, "pool", s.Pool, "members", s.Members,
+		"cores", s.Limits.Cores, "memory_mb", s.Limits.MemoryMB, "sockets", s.Limits.Sockets)
+	var stop atomic.Int64 // milliseconds, as stated last
+	stop.Store(s.StopMS)
+	// One goroutine each: the notice must not wait until a new configuration has been read, as the stop does not.
 	go func() {
-		for {
-			select {
-			case <-anew:
-				s = s.again(link, reporter, owner, log)
-				exchanging.again(log)
-			case <-notice:
-				giveUp()
-				reporter.Leave()
-				within := time.Duration(s.StopMS) * time.Millisecond
-				owner.Post(func() { owner.Leave(within) })
-			}
+		for range anew {
+			s = s.again(link, reporter, owner, log)
+			stop.Store(s.StopMS)
+			exchanging.again(log)
 		}
 	}()
-	log.Info("serving", "name", s.Name, "listen", s.Listen, "pool", s.Pool, "members", s.Members,
-		"cores", s.Limits.Cores, "memory_mb", s.Limits.MemoryMB, "sockets", s.Limits.Sockets)
-	left := make(chan struct{})
+	ended := make(chan error, 1) // why it left without a notice, nil with one
 	go func() {
-		owner.Run()
-		close(left)
+		var why error
+		select {
+		case <-notice:
+		case why = <-failed: // what was read is still answered
+			log.Error("no more connections, leaving", "error", why)
+		}
+		came := owner.Now()
+		within := time.Duration(stop.Load()) * time.Millisecond
+		ended <- why
+		giveUp()
+		reporter.Leave()
+		owner.Post(func() { owner.Leave(came, within) })
 	}()
-	select {
-	case <-left:
-		counts.Report()
-		return nil
-	case err := <-failed:
-		return err
-	}
+	owner.Run()
+	counts.Report()
+	return <-ended
 }
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -75,7 +75,7 @@
 
 // bounds are those of the program itself.
 func (s start) bounds() server.Limits {
-	return server.Limits{MemoryMB: s.Limits.MemoryMB, Sockets: s.Limits.Sockets}
+	return server.Limits{MemoryMB: s.Limits.MemoryMB, Sockets: s.Limits.Sockets, Numbers: true, Customers: true}
 }
 
 // again reads the configuration anew, sees that the whole of it could be started with, and then applies what
--- a/gate.go
+++ b/gate.go
@@ -452,7 +452,8 @@
 	}
 	g.leave.Do(func() {
 		g.good.Store(false)
-		g.owner.Post(func() { g.owner.Leave(within) })
+		came := g.owner.Now()
+		g.owner.Post(func() { g.owner.Leave(came, within) })
 	})
 	select {
 	case <-g.over:
@@ -497,6 +498,9 @@
 // Retire is called when no more tasks are wanted.
 func (g *Gate) Retire() {}
 
+// Quiet is true: calls come as they are made.
+func (g *Gate) Quiet() bool { return true }
+
 // Open is the number of connections, of which there are none.
 func (g *Gate) Open() int { return 0 }
 
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -11,7 +11,7 @@
 const (
 	Task    = 10
 	Answer  = 11
-	Cancel  = 12 // nobody waits for a task any more; ours alone, to dependencies
+	Cancel  = 12 // nobody waits for a task any more: ours to dependencies, and routers' where a site tells of callers gone
 	Check   = 20
 	Checked = 21
 	Close   = 30 // no new task on this connection
@@ -39,10 +39,13 @@
 // its connections hold a quarter of a megabyte. Longer frames of a legal length are read past.
 const MostWhole = 8 << 10
 
+// ErrType says of a frame that none of its type is taken here.
+const ErrType = "unknown frame type"
+
 // What breaks the framing. The words carry nothing from the peer, as they are counted by.
 var (
 	errLength = errors.New("length out of bounds")
-	errType   = errors.New("unknown frame type")
+	errType   = errors.New(ErrType)
 	errFields = errors.New("field list cut short")
 )
 
@@ -55,14 +58,16 @@
 }
 
 // Cut takes the first frame off what a router wrote. Without a whole one, ok is false and nothing is taken.
-func Cut(read []byte) (f Frame, rest []byte, ok bool, err error) { return cut(read, Task, Check) }
+func Cut(read []byte) (f Frame, rest []byte, ok bool, err error) {
+	return cut(read, Task, Check, Cancel)
+}
 
 // CutAnswer does the same for what a server wrote.
 func CutAnswer(read []byte) (f Frame, rest []byte, ok bool, err error) {
-	return cut(read, Answer, Close)
+	return cut(read, Answer, Close, Close)
 }
 
-func cut(read []byte, one, other byte) (f Frame, rest []byte, ok bool, err error) {
+func cut(read []byte, one, other, third byte) (f Frame, rest []byte, ok bool, err error) {
 	if len(read) < prefix {
 		return f, read, false, nil
 	}
@@ -74,7 +79,7 @@
 		return f, read, false, nil
 	}
 	f.Type, f.Stream = read[prefix], binary.BigEndian.Uint32(read[prefix+1:])
-	if f.Type != one && f.Type != other {
+	if f.Type != one && f.Type != other && f.Type != third {
 		return f, read, false, errType
 	}
 	whole := prefix + int(length)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -10,18 +10,23 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"quartzpoint/internal/frame"
 	"quartzpoint/internal/outbox"
 	"quartzpoint/internal/server"
 )
 
+const deaf = "peer does not read"
+
 const (
 	mostOpen   = 32      // tasks on a connection
 	mostBody   = 2 << 10 // bytes of a task
 	mostAnswer = 4<<10 + 256
 	mostHeap   = 2000.0 // KB booked for a task
+	mostNumber = 256    // bytes of the number of a task
 	mostWaits  = 24 * time.Hour
 	mostAge    = 10 * time.Minute // of a task when read; more is a clock that is wrong
 	mostAhead  = time.Minute      // by which a task may come from the future
@@ -48,6 +53,8 @@
 	dead    bool
 	retired bool
 	spoke   bool // it has sent a frame that was understood
+	broken  bool // nothing more is read from it; what is open on it is still answered
+	hushed  bool // and its router was told that nothing more comes
 	born    time.Duration
 	begun   time.Duration // when the frame that has not ended yet began, 0 without one
 	last    time.Duration // when it last carried a whole frame
@@ -76,9 +83,8 @@
 
 // leave tells the server that nobody waits for what is open here.
 func (c *conn) leave() {
-	c.dead = true
+	c.die()
 	c.front.left(c)
-	c.front.waiting -= c.out.Size()
 	for _, stream := range slices.Sorted(maps.Keys(c.open)) {
 		c.front.server.Gone(c.open[stream])
 	}
@@ -86,23 +92,45 @@
 }
 
 func (c *conn) close() {
-	c.dead = true
+	c.die()
 	_ = c.link.Close() // its end comes as a callback
 }
 
+// die lets go of what waits for the peer.
+func (c *conn) die() {
+	c.dead = true
+	c.front.waiting -= c.out.Size()
+	c.out = outbox.New(0)
+}
+
+// quiet tells whether nothing waits to be read: neither with netpoll nor with the system.
+func (c *conn) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// In this order: bytes leave the system for netpoll, never back.
+	return c.gone || !c.sent() && c.link.Reader().Len() == 0
+}
+
+// sent tells whether the system holds bytes of the peer's. That it has ended its side is none.
+func (c *conn) sent() bool {
+	var first [1]byte
+	n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // read is netpoll's callback for bytes that came; the poller brings it to the owner. It must take all there
 // is: netpoll calls again at once for as long as anything is left.
 func read(ctx context.Context, link netpoll.Connection) error {
 	c := ctx.Value(connKey{}).(*conn)
 	in := link.Reader()
 	if in.Len() > c.front.ahead && !c.dead {
-		c.fail("sends faster than can be read") // netpoll reads on whether or not its callbacks keep up
+		c.cutOff("sends faster than can be read") // netpoll reads on whether or not its callbacks keep up
 	}
 	bytes, err := in.Next(in.Len())
 	if err != nil {
 		return err
 	}
-	if !c.dead {
+	if !c.dead && !c.broken {
 		c.take(bytes)
 	}
 	return in.Release()
@@ -116,7 +144,7 @@
 		c.part = append(c.part, bytes...)
 		bytes = c.part
 	}
-	for !c.dead {
+	for !c.dead && !c.broken {
 		over := min(c.beyond, len(bytes))
 		bytes, c.beyond = bytes[over:], c.beyond-over
 		f, rest, ok, err := frame.Cut(bytes)
@@ -129,12 +157,20 @@
 		}
 		bytes, c.beyond = rest, f.Beyond
 		c.last, c.begun = now, 0
-		if f.Type == frame.Check {
+		switch {
+		case f.Type == frame.Check:
 			c.check(f)
-		} else {
+		case f.Type == frame.Task:
 			c.task(f)
+		case c.front.tells && f.Beyond == 0:
+			c.cancel(f)
+		default:
+			c.fail(frame.ErrType)
 		}
 	}
+	if c.dead || c.broken {
+		return
+	}
 	kept := c.part[:0]
 	if len(bytes) == 0 || cap(kept) > 2*frame.MostWhole {
 		kept = nil // neither an idle connection nor one that once sent much at a time holds a buffer of that size
@@ -158,6 +194,14 @@
 	c.front.server.Check(c, f.Stream, string(deep) == "1")
 }
 
+// cancel takes that nobody waits for a task any longer. It may cross the answer.
+func (c *conn) cancel(f frame.Frame) {
+	if t := c.open[f.Stream]; t != nil {
+		delete(c.open, f.Stream)
+		c.front.server.Gone(t)
+	}
+}
+
 // task takes a task. What breaks the framing ends the connection; what is whole but can't be
 // understood is dismissed, as then the router knows that it never ran.
 func (c *conn) task(f frame.Frame) {
@@ -229,6 +273,15 @@
 	if err != nil || !(a.Rank >= 0 && a.Rank < 1) {
 		a.Rank = 0
 	}
+	customer := text("org")
+	a.Customer = c.front.server.Customer(customer)
+	if number := text("dedupe"); number != "" {
+		if len(number) > mostNumber {
+			return a, errors.New("number")
+		}
+		// A customer's number is never another's. A repeat with another body asks for something else.
+		a.Number, a.Shape = customer+"\x00"+number, xxhash.Sum64(body)
+	}
 	router, _ := strconv.ParseUint(text("src"), 10, 32)
 	a.Router, a.Came = uint32(router), came
 	a.Body = append([]byte(nil), body...)
@@ -250,6 +303,7 @@
 	server.Honoured:  frame.Honoured,
 	server.Dismissed: frame.Dismissed,
 	server.GivenUp:   frame.GivenUp,
+	server.Clashing:  frame.GivenUp, // the other one may have run: what is dismissed may be sent elsewhere
 }
 
 // Answer puts the one answer to a task behind what waits to be written.
@@ -284,7 +338,7 @@
 
 // retire asks the router to send nothing more here and to close once all is answered.
 func (c *conn) retire() {
-	if c.retired {
+	if c.retired || c.broken {
 		return
 	}
 	c.retired = true
@@ -292,17 +346,39 @@
 	c.put(frame.Begin(nil, frame.Close, 0, 0, nil, 0))
 }
 
-// fail tells of an error that belongs to no task and ends the connection. What was open on it has lost
-// its caller.
+// fail tells of an error that belongs to no task and reads nothing more. Whoever sent what is open here waits still,
+// so the connection ends once that is answered.
 func (c *conn) fail(why string) {
 	c.front.counts.Saw("connection closed: " + why)
+	c.broken, c.part, c.begun, c.beyond = true, nil, 0, 0
+	c.last = c.front.server.Now()
 	c.put(frame.Begin(nil, frame.Answer, 0, frame.GivenUp, nil, len(why)), []byte(why))
-	c.flush()
+}
+
+// cutOff ends a connection at once, with all that is open on it: its peer takes what all others need.
+func (c *conn) cutOff(why string) {
+	c.front.counts.Saw("connection closed: " + why)
 	c.close()
 }
 
-// put adds pieces to what waits for the peer. One that has not read for so long that its box, or the share of
-// memory that all boxes have, is full is cut off: waiting for it would cost all others.
+// hush ends our side of a broken connection once all is answered and written. It is closed when its router has read
+// that and closes too, or by time: closed at once, with bytes unread, it would be reset, and what was just written
+// lost with it.
+func (c *conn) hush() {
+	if !c.broken || c.hushed || c.dead || len(c.open) > 0 || !c.out.Empty() {
+		return
+	}
+	c.hushed = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gone && unix.Shutdown(c.fd, unix.SHUT_WR) != nil {
+		c.last = 0 // closed when next looked at
+	}
+}
+
+// put adds pieces to what waits for the peer. One that has not read for so long that its box is full is cut off:
+// waiting for it would cost all others. Where the share of memory that all boxes have is full, the one goes for which
+// most waits.
 func (c *conn) put(pieces ...[]byte) {
 	if c.dead {
 		return
@@ -310,11 +386,13 @@
 	before := c.out.Size()
 	err := c.out.Add(pieces...)
 	c.front.waiting += c.out.Size() - before
-	if err != nil || c.front.waiting > c.front.bound {
-		c.front.counts.Saw("connection closed: peer does not read")
-		c.close()
+	if err != nil {
+		c.cutOff(deaf)
 		return
 	}
+	if c.front.waiting > c.front.bound {
+		c.front.relieve()
+	}
 	if !c.dirty {
 		c.dirty = true
 		c.front.dirty = append(c.front.dirty, c)
--- /dev/null
+++ b/internal/front/crossing_test.go
@@ -0,0 +1,256 @@
+package front
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/rig"
+	"quartzpoint/internal/server"
+	"quartzpoint/internal/standin"
+)
+
+// rest reads answers to the end of a connection, which must be an orderly one.
+func rest(t *testing.T, r *standin.Router) (all []standin.Reply) {
+	t.Helper()
+	for {
+		got, err := rig.ReadReply(r)
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF, "the connection was reset, or an answer cut short")
+			return all
+		}
+		all = append(all, got)
+	}
+}
+
+// inTurn has the owner stand still while f runs.
+func (b *bench) inTurn(f func()) {
+	done := make(chan struct{})
+	b.server.Post(func() { f(); close(done) })
+	<-done
+}
+
+// crossed sends a task and waits until its bytes are with the server, unread, as the owner stands still.
+func (b *bench) crossed(t *testing.T, c *conn, r *standin.Router, stream uint32) {
+	t.Helper()
+	r.Send(t, standin.Task(stream, "pay", ""))
+	require.Eventually(t, func() bool { return c.link.Reader().Len() > 0 }, standin.Patience, time.Millisecond)
+}
+
+// A task that is written while its connection is about to be closed, as idle for too long after it was asked to go or
+// to make room for another, was closed on unread.
+func TestTaskCrossesTheCloseOfAnIdleConnection(t *testing.T) {
+	closes := map[string]func(b *bench, c *conn){
+		"asked to go": func(b *bench, c *conn) {
+			c.retired, c.last = true, 0
+			b.sweep(b.server.Now())
+		},
+		"asked to go while leaving": func(b *bench, c *conn) {
+			b.retired, b.shut, c.retired, c.last = true, true, true, 0
+			b.sweep(b.server.Now())
+			b.retired, b.shut = false, false
+		},
+		"no frame in time": func(b *bench, c *conn) {
+			c.spoke, c.born = false, 0
+			b.sweep(b.server.Now())
+		},
+		"making room": func(b *bench, c *conn) {
+			b.most = 0
+			if least := b.leastNeeded(nil, true); least != nil {
+				least.close()
+			}
+			b.most = 100
+		},
+	}
+	for name, closing := range closes {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, usual())
+			r := b.speaker(t)
+			b.inTurn(func() {
+				c := b.conns[0]
+				b.crossed(t, c, r, 2)
+				closing(b, c)
+			})
+			b.pool.Next(t, "spawn")
+			b.pool.Finish(standin.Call(2), "success", []byte("whole"))
+			got := r.Next(t)
+			assert.Equal(t, []any{uint32(2), byte(20), "whole"}, []any{got.Stream, got.Code, got.Body})
+		})
+	}
+}
+
+// An answer that its router has yet to read, as its buffers are full, went with the connection that was asked to go.
+func TestAnswerWaitsForItsReaderAcrossTheClose(t *testing.T) {
+	b := newBench(t, usual())
+	r := b.speaker(t)
+	result := strings.Repeat("r", 4<<10)
+	b.inTurn(func() {
+		c := b.conns[0]
+		require.NoError(t, c.out.Add([]byte{})) // the box is there and empty
+		for range 8 {
+			c.Answer(9, server.Answer{Verdict: server.Honoured, Result: []byte(result)})
+		}
+		c.retired, c.last = true, b.server.Now()-2*retiredWait
+		b.sweep(b.server.Now())
+	})
+	for range 8 {
+		got := r.Next(t)
+		require.Equal(t, []any{byte(20), result}, []any{got.Code, got.Body})
+	}
+	assert.Empty(t, rest(t, r))
+}
+
+// What is open on a connection whose sender breaks the framing later was lost with it. Its rest, unread, reset the
+// connection and took answers along that were sent already.
+func TestTasksOutliveWhatIsBrokenBehindThem(t *testing.T) {
+	b := newBench(t, usual())
+	r := standin.Dial(t, b.Address())
+	r.Send(t, standin.Task(1, "pay", ""), standin.Task(2, "pay", ""))
+	b.pool.Next(t, "spawn")
+	b.pool.Next(t, "spawn")
+	r.Send(t, bytes.Repeat([]byte{0xff}, 100_000))
+	b.counted(t, "connection closed: length out of bounds")
+	r.Send(t, standin.Task(3, "pay", "")) // behind what broke it: never read
+	b.pool.Finish(standin.Call(2), "success", []byte("two"))
+	b.pool.Finish(standin.Call(1), "failure", nil)
+	codes := map[uint32]byte{}
+	for _, got := range rest(t, r) {
+		require.NotContains(t, codes, got.Stream, "a second answer")
+		codes[got.Stream] = got.Code
+	}
+	assert.Equal(t, map[uint32]byte{0: 51, 1: 51, 2: 20}, codes)
+}
+
+// Peers that do not read filled the share of memory that unread answers have, and the next one to be answered was cut
+// off for it, though it reads.
+func TestPeersThatDoNotReadCostNoOther(t *testing.T) {
+	b := newBench(t, usual())
+	deaf, reads := b.speaker(t), b.speaker(t)
+	reads.Send(t, standin.Task(2, "pay", ""))
+	b.pool.Next(t, "spawn")
+	b.inTurn(func() {
+		of := map[bool]*conn{}
+		for _, c := range b.conns {
+			of[len(c.open) > 0] = c
+		}
+		b.bound = 10_000
+		of[false].put(make([]byte, b.bound-10))
+		of[true].Answer(2, server.Answer{Verdict: server.Honoured, Result: make([]byte, 100)})
+		assert.Equal(t, []bool{true, false}, []bool{of[false].dead, of[true].dead})
+		assert.Less(t, b.waiting, b.bound, "what waited for the one cut off is given back at once")
+	})
+	assert.Equal(t, byte(20), reads.Next(t).Code)
+	deaf.Closed(t)
+	b.inTurn(func() { assert.Zero(t, b.waiting) })
+}
+
+// Where a site tells of callers gone, its routers' word for it was taken for nonsense, and cost all tasks on the
+// connection their answers.
+func TestRouterTellsOfACallerGone(t *testing.T) {
+	site := strings.Replace(standin.Site, `"cold":false`, `"tells-gone":true,"cold":false`, 1)
+	b := newBenchAt(t, usual(), site, nil)
+	r := standin.Dial(t, b.Address())
+	r.Send(t, standin.Task(1, "browse", ""), standin.Task(2, "pay", ""))
+	b.pool.Next(t, "spawn")
+	b.pool.Next(t, "spawn")
+	gone := func(stream uint32) []byte { return standin.Frame(12, stream, "")[:9] }
+	r.Send(t, []byte{0, 0, 0, 5}, gone(1)[4:], []byte{0, 0, 0, 5}, gone(77)[4:])
+	assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
+	b.pool.Finish(standin.Call(2), "success", []byte("kept"))
+	got := r.Next(t)
+	assert.Equal(t, []any{uint32(2), byte(20), "kept"}, []any{got.Stream, got.Code, got.Body})
+	r.Send(t, []byte{0, 0, 0, 5}, gone(2)[4:], standin.Task(3, "browse", "")) // it crossed the answer
+	b.pool.Next(t, "spawn")
+	b.pool.Finish(standin.Call(3), "success", []byte("on"))
+	assert.Equal(t, "on", r.Next(t).Body)
+}
+
+const numberedSite = `{"extra":{"cores":4,"gauges":["core_use","on_cores","heap_share","links"],"halt":"suspend",
+"passes-deadline":true,"ram-kb":60000.0,"run-factor":8.0,"key-kb":50.0},"servers":3,"over-share-worth":0.1,
+"obligations":{"overload-factor":8.0,"stop-sending-within":400000,"warm-up":9000000},
+"services":[{"name":"file","deadline":9000000,"goal-time":8000000,"gain":1.0,"idempotency":"dedup",
+"dedup-window":5000000,"late-value":0.0}],
+"tenants":[{"name":"north","quota-rps":20.0,"fraction":0.5},{"name":"south","quota-rps":20.0,"fraction":0.5}]}`
+
+// A repeat that overtakes the first's answer, or follows it, gets the first's result and never runs; on whichever
+// connection it comes. Another customer's task is never answered by it.
+func TestRepeatsOfANumberedTask(t *testing.T) {
+	limits := usual()
+	limits.Numbers, limits.Customers = true, true
+	b := newBenchAt(t, limits, numberedSite, nil)
+	one, other := standin.Dial(t, b.Address()), standin.Dial(t, b.Address())
+	ask := func(r *standin.Router, stream uint32, call uint32, org, body string) {
+		r.Send(t, standin.Task(stream, "file", body, "call", standin.Call(call), "org", org, "dedupe", "k1"))
+	}
+	ask(one, 1, 1, "north", "b")
+	first := b.pool.Next(t, "spawn")
+	ask(other, 1, 2, "north", "b") // while it runs
+	ask(other, 2, 3, "south", "b")
+	second := b.pool.Next(t, "spawn")
+	assert.Equal(t, []string{standin.Call(1), standin.Call(3)}, []string{first.Task, second.Task})
+	b.pool.Finish(standin.Call(1), "success", []byte("the north's"))
+	assert.Equal(t, "the north's", one.Next(t).Body)
+	got := other.Next(t)
+	assert.Equal(t, []any{uint32(1), byte(20), "the north's"}, []any{got.Stream, got.Code, got.Body})
+	ask(one, 2, 4, "north", "b") // when it is over
+	assert.Equal(t, "the north's", one.Next(t).Body)
+	ask(one, 3, 5, "north", "something else")
+	assert.Equal(t, byte(51), one.Next(t).Code, "its number may have run, so it is not dismissed")
+	one.Send(t, standin.Task(4, "file", "b", "org", "north", "dedupe", strings.Repeat("k", mostNumber+1)))
+	assert.Equal(t, byte(50), one.Next(t).Code)
+	one.Send(t, standin.Task(5, "file", "b", "org", "north"))
+	assert.Equal(t, byte(50), one.Next(t).Code, "without a number nothing runs")
+	b.pool.Finish(standin.Call(3), "success", []byte("the south's"))
+	assert.Equal(t, "the south's", other.Next(t).Body)
+	assert.Empty(t, b.pool.Commands, "nothing more ran")
+}
+
+// gate holds connections back in the listener.
+type gate struct {
+	netpoll.Listener
+	open chan struct{}
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	<-g.open
+	return g.Listener.Accept()
+}
+
+// A task on a connection that the system has taken for the server, and the server not yet from the system, was reset
+// when the listener was shut at the end of the grace, and when the process ended.
+func TestTaskOnAConnectionNotYetTaken(t *testing.T) {
+	held := &gate{open: make(chan struct{})}
+	b := newBenchAt(t, usual(), standin.Site, func(l netpoll.Listener) netpoll.Listener {
+		held.Listener = l
+		return held
+	})
+	r := standin.Dial(t, b.Address())
+	r.Send(t, standin.Task(1, "pay", ""))
+	b.inTurn(func() {
+		b.Retire()
+		b.Flush()
+		assert.False(t, b.Quiet(), "the process would end with a task unread")
+	})
+	close(held.open)
+	b.pool.Next(t, "spawn")
+	b.pool.Finish(standin.Call(1), "success", []byte("whole"))
+	var codes []byte
+	for _, got := range rest(t, r) {
+		if got.Type == 11 {
+			codes = append(codes, got.Code)
+		}
+	}
+	assert.Equal(t, []byte{20}, codes)
+	require.Eventually(t, func() bool { // all that was made is taken, so now it is shut
+		_, err := net.Dial("tcp", b.Address())
+		return err != nil
+	}, standin.Patience, time.Millisecond)
+	b.inTurn(func() { assert.True(t, b.Quiet()) })
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	sweepEvery    = 100 * time.Millisecond
 	retiredWait   = time.Second            // for a router to close what it was asked to
 	leavingWait   = 300 * time.Millisecond // the same while leaving: those that stay for good must not hold up the end
+	stuckWait     = 10 * time.Second       // for a router to read on before its answers are given up
 	silentWait    = 2 * time.Second        // for the first frame of a connection, and for the end of one begun
 	newWait       = 50 * time.Millisecond  // for the first frame of a connection while the table is full
 	outShare      = 8                      // part of the program's memory, as a divisor, that unread answers may take
@@ -46,6 +48,11 @@
 	idle    time.Duration
 	swept   time.Duration
 	retired bool
+	shut    bool // the listener was told to take no more connections
+	open    bool // and does so all the same
+	taken   atomic.Int64
+	joins   int64 // of those taken, how many had their first turn
+	tells   bool  // routers say when nobody waits any longer
 }
 
 // Listen takes the address for a front; connections come once it serves.
@@ -57,11 +64,13 @@
 		return nil, fmt.Errorf("listen for routers: %w", err)
 	}
 	f := &Front{
-		server: s, counts: counts, log: log, listener: listener,
+		server: s, counts: counts, log: log,
 		most:  max(limits.Sockets-sparedSockets, limits.Sockets/2),
 		bound: limits.MemoryMB << 20 / outShare,
 		ahead: limits.MemoryMB << 20 / aheadShare,
+		tells: s.TellsGone(),
 	}
+	f.listener = &counted{listener, &f.taken}
 	f.loop, err = netpoll.NewEventLoop(read, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
@@ -69,6 +78,23 @@
 	return f, nil
 }
 
+// counted is a listener that counts the connections taken from it.
+type counted struct {
+	netpoll.Listener
+	taken *atomic.Int64
+}
+
+// Accept counts a connection before it takes it, so that one is always seen: in the listener, or as taken and without
+// its turn.
+func (c *counted) Accept() (net.Conn, error) {
+	c.taken.Add(1)
+	link, err := c.Listener.Accept()
+	if link == nil || err != nil {
+		c.taken.Add(-1)
+	}
+	return link, err
+}
+
 // Serve takes connections until the front is retired.
 func (f *Front) Serve() error {
 	if err := f.loop.Serve(f.listener); err != nil && !f.closing.Load() {
@@ -93,6 +119,7 @@
 // routers away. A task that crosses the close of an idle connection is sent again by its router. It could harm
 // where more routers than the table holds are all in use; then the new one is refused, unread.
 func (f *Front) joined(c *conn) {
+	f.joins++
 	f.conns = append(f.conns, c)
 	if f.retired {
 		c.retire()
@@ -131,8 +158,11 @@
 		switch {
 		case c == newcomer || c.dead || len(c.open) > 0 || !c.out.Empty() || c.retired && !full:
 		case !c.spoke && now < c.born+newWait:
+		case c.begun > 0 && now < c.begun+newWait: // the rest of a task may be on its way
 		case least == nil, least.spoke && !c.spoke, least.spoke == c.spoke && c.last < least.last:
-			least = c
+			if c.quiet() {
+				least = c
+			}
 		}
 	}
 	return least
@@ -163,12 +193,14 @@
 	for _, c := range f.dirty {
 		if c.flush() {
 			c.dirty = false
+			c.hush()
 		} else {
 			left = append(left, c)
 		}
 	}
 	clear(f.dirty[len(left):])
 	f.dirty = left
+	f.shutListener()
 	if now := f.server.Now(); now >= f.swept+sweepEvery {
 		f.swept = now
 		f.sweep(now)
@@ -176,6 +208,19 @@
 	return len(f.dirty) == 0
 }
 
+// relieve cuts off the peer for which most waits, as one that reads has next to nothing waiting.
+func (f *Front) relieve() {
+	var most *conn
+	for _, c := range f.conns {
+		if !c.dead && (most == nil || c.out.Size() > most.out.Size()) {
+			most = c
+		}
+	}
+	if most != nil {
+		most.cutOff(deaf)
+	}
+}
+
 // sweep asks idle connections to go, and closes those that were asked and did not. Asking first means that no
 // task crosses the close; a router that does not heed it must not keep a descriptor. What says nothing, or
 // begins a frame and does not end it, goes too, whatever bytes it sends now and then.
@@ -184,12 +229,23 @@
 		c := f.conns[i]
 		switch {
 		case c.dead || len(c.open) > 0:
+		case c.broken:
+			if now >= c.last+retiredWait || f.retired && now >= c.last+leavingWait {
+				c.close()
+			}
 		case !c.spoke && now >= c.born+silentWait:
-			c.fail("nothing understood")
+			if c.quiet() {
+				c.fail("nothing understood")
+			}
 		case c.begun > 0 && now >= c.begun+silentWait:
-			c.fail("frame not ended")
-		case c.retired && (now >= c.last+retiredWait || f.retired && now >= c.last+leavingWait):
-			c.close()
+			if c.quiet() {
+				c.fail("frame not ended")
+			}
+		case !c.out.Empty() && now < c.last+stuckWait: // answers that its router has yet to read
+		case c.retired && c.begun == 0 && (now >= c.last+retiredWait || f.retired && now >= c.last+leavingWait):
+			if c.quiet() { // with bytes unread the close would be a reset, and a task among them lost
+				c.close()
+			}
 		case f.idle > 0 && now >= c.last+f.idle && !c.retired:
 			c.retire()
 		}
@@ -202,13 +258,46 @@
 		return
 	}
 	f.retired = true
+	f.closing.Store(true)
+	f.shutListener()
+	for _, c := range f.conns {
+		c.retire()
+	}
+}
+
+// shutListener has a retired front take no more connections, once it has taken those that are made already: the
+// system would reset them, and with them tasks that were written to them.
+func (f *Front) shutListener() {
+	if !f.retired || f.shut || ready(f.listener.Fd()) {
+		return
+	}
+	f.shut = true
 	// Shut down rather than closed: netpoll's Close closes one descriptor twice, and the second time it may
 	// be that of a connection just taken.
-	f.closing.Store(true)
 	if err := unix.Shutdown(f.listener.Fd(), unix.SHUT_RD); err != nil {
-		f.log.Warn("closing the listener", "error", err)
+		f.log.Warn("listener stays open to the end", "error", err)
+		f.open = true
+	}
+}
+
+// Quiet tells whether nothing that came waits to be taken or read: no connection made and not taken, none taken that
+// had no turn, no bytes on any.
+func (f *Front) Quiet() bool {
+	// In this order: a connection is counted before it leaves the listener.
+	if (!f.shut || f.open) && ready(f.listener.Fd()) || f.taken.Load() != f.joins {
+		return false
 	}
 	for _, c := range f.conns {
-		c.retire()
+		if !c.dead && !c.quiet() {
+			return false
+		}
 	}
+	return true
+}
+
+// ready tells whether a descriptor has something to be taken or read.
+func ready(fd int) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,12 +11,14 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/frame"
 	"quartzpoint/internal/pool"
+	"quartzpoint/internal/rig"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/standin"
 	"quartzpoint/internal/terms"
@@ -29,8 +31,13 @@
 }
 
 func newBench(t testing.TB, limits server.Limits) *bench {
+	return newBenchAt(t, limits, standin.Site, nil)
+}
+
+// newBenchAt makes one for a site, whose listener may stand behind a gate.
+func newBenchAt(t testing.TB, limits server.Limits, site string, gated func(netpoll.Listener) netpoll.Listener) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	told, err := terms.FromJSON([]byte(standin.Site))
+	told, err := terms.FromJSON([]byte(site))
 	require.NoError(t, err)
 	counts := check.New(log)
 	owner, err := server.New(told, 1, limits, counts, log)
@@ -38,6 +45,10 @@
 	b := &bench{pool: standin.NewPool(t).Ready()}
 	b.Front, err = Listen("127.0.0.1:0", owner, limits, counts, log)
 	require.NoError(t, err)
+	if gated != nil {
+		counts := b.listener.(*counted)
+		counts.Listener = gated(counts.Listener)
+	}
 	link := pool.New(b.pool.Address, 1<<20, log, counts.Saw, owner.Nudge)
 	owner.Serve(link, b.Front)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -46,7 +57,7 @@
 	go func() { _ = b.Serve() }()
 	go func() { owner.Run(); close(left) }()
 	t.Cleanup(func() {
-		owner.Post(func() { owner.Leave(0) })
+		owner.Post(func() { owner.Leave(owner.Now(), 0) })
 		select {
 		case <-left:
 		case <-time.After(standin.Patience):
@@ -108,40 +119,58 @@
 	cut[9] = 200 // more fields than there are
 	var many []byte
 	for stream := range uint32(mostOpen + 1) {
-		many = append(many, standin.Task(stream+1, "pay", "")...)
+		many = append(many, standin.Task(stream+1, "pay", "", "call", standin.Call(1000+stream))...)
 	}
 	cases := map[string]struct {
 		bytes []byte
+		good  int // tasks before what is broken, each of which is answered
 		want  string
 	}{
-		"short length":  {[]byte{0, 0, 0, 4, 10}, "length out of bounds"},
-		"huge length":   {[]byte{0, 4, 0, 1}, "length out of bounds"},
-		"unknown type":  {standin.Frame(12, 1, ""), "unknown frame type"},
-		"cut fields":    {cut, "field list cut short"},
-		"cut check":     {[]byte{0, 0, 0, 6, 20, 0, 0, 0, 1, 9}, "field list cut short"},
-		"stream 0":      {standin.Task(0, "pay", ""), "stream used before"},
-		"stream in use": {append(good, standin.Task(1, "pay", "", "call", standin.Call(9))...), "stream used before"},
-		"stream of old": {append(standin.Task(8, "unheard-of", ""), good...), "stream used before"},
-		"too many open": {many, "too many open tasks"},
+		"short length":  {[]byte{0, 0, 0, 4, 10}, 0, "length out of bounds"},
+		"huge length":   {[]byte{0, 4, 0, 1}, 0, "length out of bounds"},
+		"unknown type":  {standin.Frame(13, 1, ""), 0, "unknown frame type"},
+		"cancel":        {standin.Frame(12, 1, ""), 0, "unknown frame type"}, // the site tells of nobody gone
+		"cut fields":    {cut, 0, "field list cut short"},
+		"cut check":     {[]byte{0, 0, 0, 6, 20, 0, 0, 0, 1, 9}, 0, "field list cut short"},
+		"stream 0":      {standin.Task(0, "pay", ""), 0, "stream used before"},
+		"stream in use": {append(good, standin.Task(1, "pay", "", "call", standin.Call(9))...), 1, "stream used before"},
+		"stream of old": {append(standin.Task(8, "unheard-of", ""), good...), 1, "stream used before"},
+		"too many open": {many, mostOpen, "too many open tasks"},
 	}
 	b := newBench(t, usual())
+	b.pool.Echo = true
 	bystander := standin.Dial(t, b.Address())
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			router := standin.Dial(t, b.Address())
 			router.Send(t, c.bytes)
-			got := router.Next(t)
-			for ; got.Stream != 0; got = router.Next(t) {
+			var errors []string
+			answered := map[uint32]int{}
+			for {
+				got, err := rig.ReadReply(router)
+				if err != nil {
+					require.ErrorIs(t, err, io.EOF, "answers were cut short, or the connection reset: %v %v", errors, answered)
+					break
+				}
+				require.Equal(t, byte(11), got.Type)
+				if got.Stream == 0 {
+					assert.Equal(t, byte(51), got.Code)
+					errors = append(errors, got.Body)
+				} else {
+					answered[got.Stream]++
+				}
+			}
+			assert.Equal(t, []string{c.want}, errors)
+			assert.Len(t, answered, c.good)
+			for stream, times := range answered {
+				assert.Equal(t, 1, times, "stream %d", stream)
 			}
-			assert.Equal(t, []any{byte(11), byte(51), c.want}, []any{got.Type, got.Code, got.Body})
-			router.Closed(t)
 			bystander.Send(t, standin.Frame(20, 7, "", "e2e", "1"))
 			assert.Equal(t, standin.Reply{Type: 21, Stream: 7, Code: 20, Fields: map[string]string{}}, bystander.Next(t))
 		})
 	}
 }
 
-// A whole request that can't be understood is refused at once and never runs; its connection goes on.
 func TestRefusedRequests(t *testing.T) {
 	b := newBench(t, usual())
 	router := standin.Dial(t, b.Address())
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -2,16 +2,17 @@
 
 import "time"
 
-// Leave takes the notice to leave.
-func (s *Server) Leave(within time.Duration) {
+// Leave takes the notice to leave, which came at a moment (by Now) and lets so much time. A second one changes nothing:
+// the time runs from the first.
+func (s *Server) Leave(came, within time.Duration) {
 	if s.noticed > 0 {
 		return
 	}
-	now := s.Now()
+	now := min(came, s.Now())
 	s.noticed, s.stop = now, now+within-noticeDelay
 	grace, _ := s.terms.Values["grace"].(time.Duration)
 	s.retire = max(now, min(now+grace, s.stop-lastOrders))
-	s.round.StopAt = s.stop
+	s.round.StopAt, s.round.Noticed = s.stop, s.noticed
 	s.touched = true
 	s.log.Info("notice to leave", "stop_in", within, "no_more_connections_in", s.retire-now, "tasks", len(s.tasks))
 }
@@ -40,13 +41,25 @@
 			unanswered++
 		}
 	}
-	// A router that neither reads nor closes must not keep the process until it is killed.
-	done := unanswered == 0 && written && open == 0
-	last := unanswered == 0 && now >= s.stop-lastMoment
 	s.counts.That(unanswered == 0 || now < s.stop, "the stop came with tasks unanswered")
-	if !done && !last && now < s.stop {
+	// A router that neither reads nor closes must not keep the process until it is killed.
+	over := unanswered == 0 && (written && open == 0 || now >= s.stop-lastMoment)
+	if now < s.stop && !(over && s.quiet()) {
 		return false
 	}
 	s.log.Info("left", "connections", open, "stopped_runs", len(s.tasks), "before_stop", s.stop-now)
 	return true
 }
+
+// quiet tells whether nothing that came waits to be taken or read. A process that ends resets the connections that it
+// has not taken, and those with bytes that it has not read: a task on them would be lost, and answers sent with it.
+func (s *Server) quiet() bool {
+	for _, f := range s.fronts {
+		if !f.Quiet() {
+			return false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.posted) == 0
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"runtime"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	noticeDelay = 15 * time.Millisecond  // by which the notice may have been read late
 	taskKB      = 12                     // what one task may take of the program's own memory
 	taskShare   = 4                      // part of that memory, as a divisor, that tasks may take
+	entryBytes  = 512                    // what an entry of the table of numbers may take of it, its result aside
+	entryShare  = 8                      // part of that memory, as a divisor, that these may take
 	shareEvery  = time.Second            // between the views that are left for others
 	enterEach   = 20 * time.Millisecond  // between looks whether the ledger has what waits for it
 	unbounded   = 1e9                    // calls at once
@@ -64,21 +67,24 @@
 	posted []func()
 	woken  chan struct{}
 
-	tasks    map[string]*Task
-	owner    map[*choice.Task]*Task
-	round    choice.Round
-	touched  bool
-	numbers  map[string]*number
-	kept     int // bytes of the results that they hold
-	mayKeep  int
-	ledger   Ledger         // of the numbers, nil without one
-	entering []*Task        // whose numbers it does not have yet
-	echoed   []*choice.Task // answered from the first in this round
-	atCall   []*choice.Task // started in this round, and made of calls
-	unbegun  []*Task        // whose calls the composer did not take
-	gauges   choice.Gauges
-	fresh    bool // gauges came for the alarm in hand
-	notices  []runs.Notice
+	tasks     map[string]*Task
+	owner     map[*choice.Task]*Task
+	round     choice.Round
+	touched   bool
+	spent     map[string]time.Duration // calls of at-most-once tasks that may have run, until when they are known
+	spending  []string                 // the same, oldest first
+	customers map[string]int
+	numbers   map[string]*number
+	kept      int // bytes of the results that they hold
+	mayKeep   int
+	ledger    Ledger         // of the numbers, nil without one
+	entering  []*Task        // whose numbers it does not have yet
+	echoed    []*choice.Task // answered from the first in this round
+	atCall    []*choice.Task // started in this round, and made of calls
+	unbegun   []*Task        // whose calls the composer did not take
+	gauges    choice.Gauges
+	fresh     bool // gauges came for the alarm in hand
+	notices   []runs.Notice
 
 	alarms    []time.Duration
 	asked     uint64        // nonce of the alarm's poll, 0 without one
@@ -112,6 +118,7 @@
 func New(told *terms.Terms, seed int64, limits Limits, counts *check.Counts, log *slog.Logger) (*Server, error) {
 	s := &Server{
 		terms: told, counts: counts, log: log, began: time.Now(), limits: limits,
+		spent: map[string]time.Duration{}, customers: map[string]int{},
 		numbers: map[string]*number{}, mayKeep: limits.MemoryMB << 20 / numberShare,
 		types: map[string]*choice.TrafficType{},
 		most:  max(64, limits.MemoryMB*1024/taskKB/taskShare),
@@ -139,6 +146,13 @@
 	if customers, _ := told.Values["customers"].(float64); customers > 0 && !limits.Customers {
 		return nil, fmt.Errorf("the settings name customers, whom this program can't tell apart yet")
 	}
+	for i := 0; ; i++ {
+		name, stated := told.Values[fmt.Sprintf("customer.%d.name", i)].(string)
+		if !stated {
+			break
+		}
+		s.customers[name] = i
+	}
 	values := maps.Clone(told.Values)
 	if !limits.Calls {
 		values["calls-share"] = unbounded // the composer keeps to what its dependencies survive
@@ -180,6 +194,20 @@
 	return all
 }
 
+// Customer is the place of a customer in the terms. One they do not name is nobody's: it has no share, and takes of none.
+func (s *Server) Customer(name string) int {
+	if place, known := s.customers[name]; known {
+		return place
+	}
+	return math.MaxInt
+}
+
+// TellsGone is whether routers say when nobody waits for a task any longer.
+func (s *Server) TellsGone() bool {
+	tells, _ := s.terms.Values["tells-gone"].(bool)
+	return tells
+}
+
 // Adopt gives a name that the terms do not state one of the types that they state for strangers, whose names begin
 // with a NUL byte; where all are given away, tasks of the name are dismissed.
 func (s *Server) Adopt(name string) {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -42,6 +42,7 @@
 func (b *bench) Flush() bool                           { return !b.unread }
 func (b *bench) Retire()                               { b.retired = true }
 func (b *bench) Open() int                             { return 0 }
+func (b *bench) Quiet() bool                           { return true }
 
 func newBench(t *testing.T) *bench { return newBenchAt(t, standin.Site) }
 
@@ -61,7 +62,7 @@
 	go link.Run(ctx)
 	go func() { b.Run(); close(b.left) }()
 	t.Cleanup(func() {
-		b.Post(func() { b.Leave(0) })
+		b.Post(func() { b.Leave(b.Now(), 0) })
 		select {
 		case <-b.left:
 		case <-time.After(standin.Patience):
@@ -395,7 +396,7 @@
 	b.pool.Ready()
 	b.ask(1, "pay", time.Minute)
 	b.pool.Next(t, "spawn")
-	b.Post(func() { b.Leave(6 * time.Second) })
+	b.Post(func() { b.Leave(b.Now(), 6*time.Second) })
 	b.ask(2, "pay", time.Minute) // within the grace of 400 ms
 	b.pool.Next(t, "spawn")
 	require.Eventually(t, func() bool {
@@ -421,7 +422,7 @@
 		b.ask(stream, "pay", time.Minute)
 	}
 	b.pool.Next(t, "spawn")
-	b.Post(func() { b.Leave(500 * time.Millisecond) })
+	b.Post(func() { b.Leave(b.Now(), 500*time.Millisecond) })
 	<-b.left
 	assert.Len(t, b.answers, 40)
 }
@@ -429,7 +430,7 @@
 // A peer that does not read its answers kept the process from leaving until it was killed.
 func TestLeavingWithAPeerThatDoesNotRead(t *testing.T) {
 	b := newBench(t)
-	b.Post(func() { b.unread = true; b.Leave(500 * time.Millisecond) })
+	b.Post(func() { b.unread = true; b.Leave(b.Now(), 500*time.Millisecond) })
 	select {
 	case <-b.left:
 	case <-time.After(standin.Patience):
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -45,6 +45,7 @@
 	Flush() (written bool) // writes all that was answered; false while peers have yet to read some
 	Retire()               // takes no more connections and asks for no more tasks on those that are open
 	Open() int             // connections
+	Quiet() bool           // nothing that came waits to be taken or read
 }
 
 // Task is a task and what the program keeps for it until the last that can come for it has come.
@@ -68,6 +69,8 @@
 	waits    bool    // to run once the ledger has that
 	entry    uint64  // the ledger's mark
 	stands   bool    // paused meanwhile
+	still    bool    // its run is to stand still, or is stopped for good
+	told     uint64  // the nonce of the first poll behind the last command to stop it or to go on
 }
 
 // doubt is how far the sorting out of a run has come of which it is not known whether it began.
@@ -113,12 +116,19 @@
 			a.Caller.Answer(a.Stream, Answer{Verdict: GivenUp, Level: s.level})
 			return nil
 		}
+	case s.spent[a.ID] > 0:
+		// Its caller has, or had, an answer to this call; what has run is never rerun, and never dismissed.
+		s.counts.Saw("task whose call may have run before")
+		a.Caller.Answer(a.Stream, Answer{Verdict: GivenUp, Level: s.level})
+		return nil
 	case due && a.Waits <= 0:
 		s.counts.Saw("task without a due time")
 	case len(s.tasks) >= s.most:
 		s.counts.Saw("task beyond the program's own memory")
 	case kind.Repeats == choice.Numbered && a.Number == "":
 		s.counts.Saw("numbered task without a number")
+	case kind.Repeats == choice.Numbered && s.numbers[numberKey(a.Type, a.Number)] == nil && len(s.numbers) >= s.mostNumbers():
+		s.counts.Saw("numbered task beyond the program's own memory")
 	case kind.Repeats == choice.Numbered && s.clashes(a):
 		s.counts.Saw("number of another task")
 		a.Caller.Answer(a.Stream, Answer{Verdict: Clashing, Level: s.level})
@@ -199,11 +209,33 @@
 // settle forgets a task for which nothing more can come.
 func (s *Server) settle(t *Task) {
 	if t != nil && t.answered && !t.active {
+		if s.tasks[t.id] == t && t.sent && t.Type.Repeats == choice.AtMostOnce {
+			s.spend(t)
+		}
 		delete(s.tasks, t.id)
 		delete(s.owner, &t.Task)
 	}
 }
 
+// spend keeps the call of a task that may have run for as long as a copy of it may come. Where the table is full, the
+// oldest goes: it is the likeliest to be past all copies.
+func (s *Server) spend(t *Task) {
+	if len(s.spending) >= s.most {
+		delete(s.spent, s.spending[0])
+		s.spending = s.spending[1:]
+	}
+	s.spent[t.id] = s.Now() + 2*t.Type.OuterLimit
+	s.spending = append(s.spending, t.id)
+}
+
+// forgetSpent lets go of calls that no copy can come of any more.
+func (s *Server) forgetSpent(now time.Duration) {
+	for len(s.spending) > 0 && s.spent[s.spending[0]] <= now {
+		delete(s.spent, s.spending[0])
+		s.spending = s.spending[1:]
+	}
+}
+
 // answer gives a task its one answer.
 func (s *Server) answer(t *Task, a Answer) {
 	s.counts.That(!t.answered, "a task was answered twice")
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -26,7 +26,7 @@
 	case of.waits:
 		of.stands = false
 	case of.sent:
-		s.link.GoOn(of.id)
+		s.halt(of, false)
 	case of.number != "" && s.ledger != nil && !of.entered:
 		s.enter(of)
 	default:
@@ -42,7 +42,7 @@
 	case of.waits:
 		of.stands = true
 	default:
-		s.by(of).Pause(of.id)
+		s.halt(of, true)
 	}
 }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -85,6 +85,7 @@
 	"tenants": {
 		"quota-rps": {"rate", number},
 		"fraction":  {"share", number},
+		"name":      {"name", text},
 	},
 }
 
