--- /dev/null
+++ b/cmd/quartzpoint/crossing_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/rig"
+	"quartzpoint/internal/standin"
+)
+
+// answers reads to the end of a connection, which must be an orderly one, and gives the codes of answers by stream.
+func answers(t *testing.T, r *standin.Router) map[uint32][]byte {
+	t.Helper()
+	all := map[uint32][]byte{}
+	for {
+		got, err := rig.ReadReply(r)
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF, "the connection was reset, or an answer cut short")
+			return all
+		}
+		if got.Type == 11 {
+			all[got.Stream] = append(all[got.Stream], got.Code)
+		}
+	}
+}
+
+// The notice to leave waited while a new configuration was read, here one that never comes, and the stop did not.
+func TestNoticeWhileAConfigurationIsRead(t *testing.T) {
+	p := launch(t, "release")
+	p.pool.Ready()
+	router := standin.Dial(t, p.address)
+	router.Send(t, standin.Task(1, "pay", ""))
+	run := p.pool.Next(t, "spawn").Task
+	require.NoError(t, os.Remove(p.path))
+	require.NoError(t, syscall.Mkfifo(p.path, 0o600))
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { // it can be opened for writing once the process has it open to read
+		held, err := syscall.Open(p.path, syscall.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err == nil {
+			t.Cleanup(func() { _ = syscall.Close(held) })
+		}
+		return err == nil
+	}, standin.Patience, time.Millisecond)
+	for range 3 { // a notice told again changes nothing
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	}
+	p.logged(t, "notice to leave")
+	p.pool.Finish(run, "success", nil)
+	assert.Equal(t, map[uint32][]byte{1: {20}}, answers(t, router))
+	assert.Zero(t, p.gone())
+}
+
+// A machine that stands still across the end of the grace: the system takes connections, and tasks on them, that the
+// process hears of only when it has begun to go. Each is answered, none runs, and no connection is reset.
+func TestTasksWhileTheProcessStandsStillAtTheEndOfTheGrace(t *testing.T) {
+	p := launch(t, "release")
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+	known := standin.Dial(t, p.address)
+	known.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+	assert.Equal(t, byte(21), known.Next(t).Type)
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	p.logged(t, "notice to leave")
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(500 * time.Millisecond) // the grace of the site is 400 ms; what arrives from here on never runs
+	var all []*standin.Router
+	for range 8 {
+		all = append(all, standin.Dial(t, p.address))
+	}
+	for i, r := range append(all, known) {
+		r.Send(t, standin.Task(2, "pay", "", "call", standin.Call(uint32(100+i))))
+	}
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGCONT))
+	for i, r := range append(all, known) {
+		assert.Equal(t, map[uint32][]byte{2: {50}}, answers(t, r), "connection %d", i)
+	}
+	assert.Zero(t, p.gone())
+	for len(p.pool.Commands) > 0 {
+		assert.NotEqual(t, "spawn", (<-p.pool.Commands).Verb, "it ran past the grace")
+	}
+	_, err := net.Dial("tcp", p.address)
+	assert.Error(t, err)
+}
+
+// SIGHUP at the start: it was heard, and its words written, while the start still read them.
+func TestSignalsAtTheStart(t *testing.T) {
+	p := launch(t, "release")
+	for range 50 {
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+	}
+	p.logged(t, "new configuration")
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+	router := standin.Dial(t, p.address)
+	router.Send(t, standin.Task(1, "pay", ""))
+	run := p.pool.Next(t, "spawn").Task
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+	p.logged(t, "notice to leave")
+	p.pool.Finish(run, "success", nil)
+	assert.Equal(t, map[uint32][]byte{1: {20}}, answers(t, router))
+	assert.Zero(t, p.gone())
+}
--- /dev/null
+++ b/internal/server/crossing_test.go
@@ -0,0 +1,131 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/choice"
+	"quartzpoint/internal/standin"
+)
+
+// inTurn has the owner stand still while f runs.
+func (b *bench) inTurn(f func()) {
+	done := make(chan struct{})
+	b.Post(func() { f(); close(done) })
+	<-done
+}
+
+// A run that was given up is stopped though the link is lost on which that was said, or there was none: its core is free
+// for others. (The decisions say it again while it is not told to have ended.)
+func TestStopOfARunAcrossALostLink(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		b := newBench(t)
+		b.pool.Ready()
+		b.pool.Next(t, "bind")
+		b.bound(t)
+		b.ask(1, "browse", time.Minute)
+		b.pool.Next(t, "spawn")
+		b.known(t)
+		if down {
+			b.pool.Cut()
+			require.Eventually(t, func() bool {
+				asked := true
+				b.inTurn(func() { _, asked = b.link.Poll() })
+				return !asked
+			}, standin.Patience, time.Millisecond)
+		}
+		b.inTurn(func() {
+			b.Gone(b.tasks[standin.Call(1)])
+			if !down {
+				b.pool.Cut() // before the word is written
+			}
+		})
+		assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
+		require.Eventually(t, func() bool {
+			left := 1
+			b.inTurn(func() { left = len(b.tasks) })
+			return left == 0
+		}, standin.Patience, time.Millisecond)
+	}
+}
+
+// A call that comes again after its run was answered, as when its router's connection broke behind the answer, ran an
+// at-most-once task a second time.
+func TestCallComesAgainAfterItsAnswer(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	run := func(kind string, stream uint32) {
+		b.ask(stream, kind, time.Minute)
+		b.pool.Next(t, "spawn")
+		b.pool.Finish(standin.Call(stream), "success", []byte("done"))
+		assert.Equal(t, Honoured, b.next(t).Verdict)
+	}
+	run("pay", 1)
+	b.ask(1, "pay", time.Minute)
+	assert.Equal(t, GivenUp, b.next(t).Verdict, "what has run is neither run again nor dismissed")
+	assert.Empty(t, b.pool.Commands)
+	run("browse", 2)
+	run("browse", 2) // harmless, and its caller wants an answer
+
+	b.inTurn(func() {
+		b.most = 3
+		for _, id := range []string{"a", "b", "c"} {
+			b.spend(&Task{id: id, Task: choice.Task{Type: b.types["pay"]}})
+		}
+		assert.Equal(t, []string{"a", "b", "c"}, b.spending, "the oldest goes where the table is full")
+		assert.Len(t, b.spent, 3)
+		b.forgetSpent(b.Now() + time.Minute)
+		assert.Empty(t, b.spent)
+		assert.Empty(t, b.spending)
+	})
+}
+
+// A process that ends with a connection untaken, or bytes unread, loses a task. It stays for them, up to the stop.
+func TestEndWaitsForWhatIsUnread(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.unheard.Store(true)
+	b.inTurn(func() { b.Leave(b.Now(), 4*time.Second) })
+	require.Eventually(t, func() bool {
+		retired := false
+		b.inTurn(func() { retired = b.retired })
+		return retired
+	}, standin.Patience, time.Millisecond)
+	b.ask(1, "pay", time.Minute) // read only now, past the grace: answered, and not run
+	assert.Equal(t, Dismissed, b.next(t).Verdict)
+	for range 20 { // rounds of a process that stays
+		b.inTurn(func() {})
+	}
+	b.unheard.Store(false)
+	select {
+	case <-b.left:
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "the end does not come")
+	}
+}
+
+// The round that heard of the notice late let run what came past the grace, and planned past the stop.
+func TestGraceAndStopRunFromTheNotice(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.pool.Next(t, "bind")
+	b.bound(t)
+	b.inTurn(func() {
+		came := b.Now() - 300*time.Millisecond
+		b.Leave(came, 3*time.Second)
+		assert.Equal(t, came+3*time.Second-noticeDelay, b.stop)
+		late := Asked{ID: standin.Call(1), Type: "pay", HeldKB: 20, Rank: 0.9, Waits: time.Minute, Caller: b, Stream: 1}
+		late.Arrived = came + 401*time.Millisecond // the site's grace is 400 ms
+		b.Take(late)
+		due := late
+		due.ID, due.Stream, due.Arrived = standin.Call(2), 2, came+399*time.Millisecond
+		b.Take(due)
+	})
+	assert.Equal(t, []any{uint32(1), Dismissed}, func() []any { a := b.next(t); return []any{a.stream, a.Verdict} }())
+	assert.Equal(t, standin.Call(2), b.pool.Next(t, "spawn").Task)
+	b.pool.Finish(standin.Call(2), "success", nil)
+	assert.Equal(t, Honoured, b.next(t).Verdict)
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -132,9 +132,6 @@
 		case !t.sent, t.unsure && !t.answered && t.Type.Repeats == choice.Reissuable:
 			t.sent, t.unsure = false, false
 			s.spawn(t)
-			if t.still {
-				s.halt(t, true)
-			}
 		case t.unsure && !t.answered && pauses:
 			s.link.Pause(t.id)
 			if t.doubt == none {
@@ -147,8 +144,6 @@
 			}
 			s.link.Pause(t.id)
 			s.end(t, choice.Stopped, 0, nil) // not broken: a lost link says nothing of this server's health
-		case t.told > s.polled: // whether the pool read the last word on this run is not known, and either is safe twice
-			s.halt(t, t.still)
 		}
 	}
 	if len(s.doubts) > 0 {
@@ -177,7 +172,6 @@
 		case t.answered && stands:
 			s.end(t, choice.Stopped, 0, nil) // no further end will be told
 		case t.answered:
-		case stands && t.still: // as it should
 		case stands:
 			t.mark = s.link.Next()
 			t.unsure = !s.link.GoOn(t.id) // lost again: in doubt still
@@ -185,7 +179,7 @@
 			s.counts.Saw("run not known to have begun, sent again")
 			t.sent = false
 			s.spawn(t)
-			s.halt(t, t.still) // no harm to one that runs; it goes on where an earlier proceed was lost
+			s.link.GoOn(t.id) // no harm to one that runs; it goes on where an earlier proceed was lost
 			t.sent, t.unsure = true, !t.sent
 		}
 	}
@@ -218,20 +212,6 @@
 	}
 }
 
-// halt has a run stand still, or go on. What a link does not take, or loses, is told again once there is one.
-func (s *Server) halt(t *Task, still bool) {
-	t.still = still
-	by := s.by(t)
-	if !t.composed {
-		t.told = s.link.Next()
-	}
-	if still {
-		by.Pause(t.id)
-	} else {
-		by.GoOn(t.id)
-	}
-}
-
 // spawn has the pool run a task, or notes that it could not be told.
 func (s *Server) spawn(t *Task) {
 	s.counts.That(!t.sent, "a run was sent twice")
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +34,8 @@
 	checks  chan bool
 	left    chan struct{}
 	retired bool
-	unread  bool // the front's peers do not read
+	unread  bool        // the front's peers do not read
+	unheard atomic.Bool // something came that is not taken yet
 }
 
 func (b *bench) Answer(stream uint32, a Answer)        { b.answers <- answered{stream, a} }
@@ -42,7 +44,7 @@
 func (b *bench) Flush() bool                           { return !b.unread }
 func (b *bench) Retire()                               { b.retired = true }
 func (b *bench) Open() int                             { return 0 }
-func (b *bench) Quiet() bool                           { return true }
+func (b *bench) Quiet() bool                           { return !b.unheard.Load() }
 
 func newBench(t *testing.T) *bench { return newBenchAt(t, standin.Site) }
 
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -69,8 +69,6 @@
 	waits    bool    // to run once the ledger has that
 	entry    uint64  // the ledger's mark
 	stands   bool    // paused meanwhile
-	still    bool    // its run is to stand still, or is stopped for good
-	told     uint64  // the nonce of the first poll behind the last command to stop it or to go on
 }
 
 // doubt is how far the sorting out of a run has come of which it is not known whether it began.
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -26,7 +26,7 @@
 	case of.waits:
 		of.stands = false
 	case of.sent:
-		s.halt(of, false)
+		s.link.GoOn(of.id)
 	case of.number != "" && s.ledger != nil && !of.entered:
 		s.enter(of)
 	default:
@@ -42,7 +42,7 @@
 	case of.waits:
 		of.stands = true
 	default:
-		s.halt(of, true)
+		s.by(of).Pause(of.id)
 	}
 }
 
