--- a/cmd/quartzpoint/crossing_test.go
+++ b/cmd/quartzpoint/crossing_test.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -89,22 +92,37 @@
 	assert.Error(t, err)
 }
 
-// SIGHUP at the start: it was heard, and its words written, while the start still read them.
+// A new configuration that is told of as soon as the program is there, before it can hear of it, ended the process. It
+// reads its configuration later than that, so nothing is missed. Between there and serving the word was handled beside
+// the start that still read what it writes.
 func TestSignalsAtTheStart(t *testing.T) {
-	p := launch(t, "release")
-	for range 50 {
+	var deploy struct{ Run string }
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	require.NoError(t, toml.Unmarshal(text, &deploy))
+	require.Contains(t, deploy.Run, "exec bin/quartzpoint")
+	for range 5 {
+		p := prepare(t, "/bin/sh", "-c", strings.Replace(deploy.Run, "bin/quartzpoint", builds["release"], 1))
+		require.NoError(t, p.cmd.Start())
+		p.endWith(t)
+		require.Eventually(t, func() bool { // the shell has become the program
+			exe, _ := os.Readlink(fmt.Sprintf("/proc/%d/exe", p.cmd.Process.Pid))
+			return exe == builds["release"]
+		}, standin.Patience, time.Microsecond)
+		require.Eventually(t, func() bool {
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+			return strings.Contains(p.log.String(), "new configuration")
+		}, standin.Patience, time.Microsecond, "%s", p.log)
+		p.pool.Ready()
+		p.logged(t, "pool link bound")
+		router := standin.Dial(t, p.address)
+		router.Send(t, standin.Task(1, "pay", ""))
+		run := p.pool.Next(t, "spawn").Task
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 		require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+		p.logged(t, "notice to leave")
+		p.pool.Finish(run, "success", nil)
+		assert.Equal(t, map[uint32][]byte{1: {20}}, answers(t, router))
+		assert.Zero(t, p.gone())
 	}
-	p.logged(t, "new configuration")
-	p.pool.Ready()
-	p.logged(t, "pool link bound")
-	router := standin.Dial(t, p.address)
-	router.Send(t, standin.Task(1, "pay", ""))
-	run := p.pool.Next(t, "spawn").Task
-	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
-	p.logged(t, "notice to leave")
-	p.pool.Finish(run, "success", nil)
-	assert.Equal(t, map[uint32][]byte{1: {20}}, answers(t, router))
-	assert.Zero(t, p.gone())
 }
--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -49,6 +49,16 @@
 }
 
 func launch(t *testing.T, build string) *program {
+	p := prepare(t, builds[build])
+	require.NoError(t, p.cmd.Start())
+	p.endWith(t)
+	assert.Equal(t, "HB n1 UP", p.members.Next(t))
+	p.logged(t, "msg=serving")
+	return p
+}
+
+// prepare makes all that a process needs, short of its start.
+func prepare(t *testing.T, command ...string) *program {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &program{
@@ -56,10 +66,14 @@
 	}
 	free.Close()
 	p.path = standin.StartFile(t, p.address, p.pool.Address, p.members.Address, standin.Site)
-	p.cmd = exec.Command(builds[build])
+	p.cmd = exec.Command(command[0], command[1:]...)
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.path, "EDGE_NAME=n1", "EDGE_LISTEN="+p.address)
 	p.cmd.Stderr = p.log
-	require.NoError(t, p.cmd.Start())
+	return p
+}
+
+// endWith has the process end with the test.
+func (p *program) endWith(t *testing.T) {
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill() // what has left by itself does not mind
 		_ = p.cmd.Wait()
@@ -67,9 +81,6 @@
 			t.Log(p.log)
 		}
 	})
-	assert.Equal(t, "HB n1 UP", p.members.Next(t))
-	p.logged(t, "msg=serving")
-	return p
 }
 
 func (p *program) logged(t *testing.T, words string) {
