--- a/internal/server/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -94,7 +94,12 @@
 		b.inTurn(func() { retired = b.retired })
 		return retired
 	}, standin.Patience, time.Millisecond)
-	b.ask(1, "pay", time.Minute) // read only now, past the grace: answered, and not run
+	b.inTurn(func() { // read only now, past the grace of 400 ms: answered, and not run
+		b.Take(Asked{
+			ID: standin.Call(1), Type: "pay", HeldKB: 20, Rank: 0.9, Arrived: b.noticed + 401*time.Millisecond,
+			Waits: time.Minute, Caller: b, Stream: 1,
+		})
+	})
 	assert.Equal(t, Dismissed, b.next(t).Verdict)
 	for range 20 { // rounds of a process that stays
 		b.inTurn(func() {})
