--- a/cmd/qplab/flat.go
+++ b/cmd/qplab/flat.go
@@ -92,8 +92,7 @@
 	go func() { _ = routers.Serve() }() // ends with the process
 	go func() {
 		<-notice
-		came := owner.Now()
-		owner.Post(func() { owner.Leave(came, time.Duration(s.StopMS)*time.Millisecond) })
+		owner.Leave(time.Duration(s.StopMS) * time.Millisecond)
 	}()
 	log.Info("serving", "listen", s.Listen)
 	owner.Run()
--- a/cmd/quartzpoint/crossing_test.go
+++ b/cmd/quartzpoint/crossing_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strings"
@@ -14,7 +13,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"quartzpoint/internal/rig"
 	"quartzpoint/internal/standin"
 )
 
@@ -22,16 +20,12 @@
 func answers(t *testing.T, r *standin.Router) map[uint32][]byte {
 	t.Helper()
 	all := map[uint32][]byte{}
-	for {
-		got, err := rig.ReadReply(r)
-		if err != nil {
-			require.ErrorIs(t, err, io.EOF, "the connection was reset, or an answer cut short")
-			return all
-		}
+	for _, got := range r.Rest(t) {
 		if got.Type == 11 {
 			all[got.Stream] = append(all[got.Stream], got.Code)
 		}
 	}
+	return all
 }
 
 // The notice to leave waited while a new configuration was read, here one that never comes, and the stop did not.
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -126,12 +126,10 @@
 		case why = <-failed: // what was read is still answered
 			log.Error("no more connections, leaving", "error", why)
 		}
-		came := owner.Now()
-		within := time.Duration(stop.Load()) * time.Millisecond
 		ended <- why
 		giveUp()
 		reporter.Leave()
-		owner.Post(func() { owner.Leave(came, within) })
+		owner.Leave(time.Duration(stop.Load()) * time.Millisecond)
 	}()
 	owner.Run()
 	counts.Report()
--- a/gate.go
+++ b/gate.go
@@ -452,8 +452,7 @@
 	}
 	g.leave.Do(func() {
 		g.good.Store(false)
-		came := g.owner.Now()
-		g.owner.Post(func() { g.owner.Leave(came, within) })
+		g.owner.Leave(within)
 	})
 	select {
 	case <-g.over:
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -3,6 +3,7 @@
 package frame
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 )
@@ -39,13 +40,10 @@
 // its connections hold a quarter of a megabyte. Longer frames of a legal length are read past.
 const MostWhole = 8 << 10
 
-// ErrType says of a frame that none of its type is taken here.
-const ErrType = "unknown frame type"
-
 // What breaks the framing. The words carry nothing from the peer, as they are counted by.
 var (
 	errLength = errors.New("length out of bounds")
-	errType   = errors.New(ErrType)
+	ErrType   = errors.New("unknown frame type") // none of its type is taken here
 	errFields = errors.New("field list cut short")
 )
 
@@ -64,10 +62,10 @@
 
 // CutAnswer does the same for what a server wrote.
 func CutAnswer(read []byte) (f Frame, rest []byte, ok bool, err error) {
-	return cut(read, Answer, Close, Close)
+	return cut(read, Answer, Close)
 }
 
-func cut(read []byte, one, other, third byte) (f Frame, rest []byte, ok bool, err error) {
+func cut(read []byte, taken ...byte) (f Frame, rest []byte, ok bool, err error) {
 	if len(read) < prefix {
 		return f, read, false, nil
 	}
@@ -79,8 +77,8 @@
 		return f, read, false, nil
 	}
 	f.Type, f.Stream = read[prefix], binary.BigEndian.Uint32(read[prefix+1:])
-	if f.Type != one && f.Type != other && f.Type != third {
-		return f, read, false, errType
+	if bytes.IndexByte(taken, f.Type) < 0 {
+		return f, read, false, ErrType
 	}
 	whole := prefix + int(length)
 	if whole > MostWhole {
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -57,7 +57,7 @@
 	}{
 		{"shorter than a head", "\x00\x00\x00\x04\x0a", errLength},
 		{"longer than any frame", "\x00\x04\x00\x01", errLength},
-		{"an answer from a router", "\x00\x00\x00\x06\x0b\x00\x00\x00\x01\x00", errType},
+		{"an answer from a router", "\x00\x00\x00\x06\x0b\x00\x00\x00\x01\x00", ErrType},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -165,7 +165,7 @@
 		case c.front.tells && f.Beyond == 0:
 			c.cancel(f)
 		default:
-			c.fail(frame.ErrType)
+			c.fail(frame.ErrType.Error())
 		}
 	}
 	if c.dead || c.broken {
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"strings"
 	"testing"
@@ -12,24 +11,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"quartzpoint/internal/rig"
+	"quartzpoint/internal/frame"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/standin"
 )
 
-// rest reads answers to the end of a connection, which must be an orderly one.
-func rest(t *testing.T, r *standin.Router) (all []standin.Reply) {
-	t.Helper()
-	for {
-		got, err := rig.ReadReply(r)
-		if err != nil {
-			require.ErrorIs(t, err, io.EOF, "the connection was reset, or an answer cut short")
-			return all
-		}
-		all = append(all, got)
-	}
-}
-
 // inTurn has the owner stand still while f runs.
 func (b *bench) inTurn(f func()) {
 	done := make(chan struct{})
@@ -104,7 +90,7 @@
 		got := r.Next(t)
 		require.Equal(t, []any{byte(20), result}, []any{got.Code, got.Body})
 	}
-	assert.Empty(t, rest(t, r))
+	assert.Empty(t, r.Rest(t))
 }
 
 // What is open on a connection whose sender breaks the framing later was lost with it. Its rest, unread, reset the
@@ -121,7 +107,7 @@
 	b.pool.Finish(standin.Call(2), "success", []byte("two"))
 	b.pool.Finish(standin.Call(1), "failure", nil)
 	codes := map[uint32]byte{}
-	for _, got := range rest(t, r) {
+	for _, got := range r.Rest(t) {
 		require.NotContains(t, codes, got.Stream, "a second answer")
 		codes[got.Stream] = got.Code
 	}
@@ -160,13 +146,13 @@
 	r.Send(t, standin.Task(1, "browse", ""), standin.Task(2, "pay", ""))
 	b.pool.Next(t, "spawn")
 	b.pool.Next(t, "spawn")
-	gone := func(stream uint32) []byte { return standin.Frame(12, stream, "")[:9] }
-	r.Send(t, []byte{0, 0, 0, 5}, gone(1)[4:], []byte{0, 0, 0, 5}, gone(77)[4:])
+	gone := func(stream uint32) []byte { return frame.Begin(nil, frame.Cancel, stream, 0, nil, 0) }
+	r.Send(t, gone(1), gone(77))
 	assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
 	b.pool.Finish(standin.Call(2), "success", []byte("kept"))
 	got := r.Next(t)
 	assert.Equal(t, []any{uint32(2), byte(20), "kept"}, []any{got.Stream, got.Code, got.Body})
-	r.Send(t, []byte{0, 0, 0, 5}, gone(2)[4:], standin.Task(3, "browse", "")) // it crossed the answer
+	r.Send(t, gone(2), standin.Task(3, "browse", "")) // it crossed the answer
 	b.pool.Next(t, "spawn")
 	b.pool.Finish(standin.Call(3), "success", []byte("on"))
 	assert.Equal(t, "on", r.Next(t).Body)
@@ -242,7 +228,7 @@
 	b.pool.Next(t, "spawn")
 	b.pool.Finish(standin.Call(1), "success", []byte("whole"))
 	var codes []byte
-	for _, got := range rest(t, r) {
+	for _, got := range r.Rest(t) {
 		if got.Type == 11 {
 			codes = append(codes, got.Code)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -225,12 +225,16 @@
 // task crosses the close; a router that does not heed it must not keep a descriptor. What says nothing, or
 // begins a frame and does not end it, goes too, whatever bytes it sends now and then.
 func (f *Front) sweep(now time.Duration) {
+	stays := retiredWait
+	if f.retired {
+		stays = leavingWait
+	}
 	for i := len(f.conns) - 1; i >= 0; i-- {
 		c := f.conns[i]
 		switch {
 		case c.dead || len(c.open) > 0:
 		case c.broken:
-			if now >= c.last+retiredWait || f.retired && now >= c.last+leavingWait {
+			if now >= c.last+stays {
 				c.close()
 			}
 		case !c.spoke && now >= c.born+silentWait:
@@ -242,7 +246,7 @@
 				c.fail("frame not ended")
 			}
 		case !c.out.Empty() && now < c.last+stuckWait: // answers that its router has yet to read
-		case c.retired && c.begun == 0 && (now >= c.last+retiredWait || f.retired && now >= c.last+leavingWait):
+		case c.retired && c.begun == 0 && now >= c.last+stays:
 			if c.quiet() { // with bytes unread the close would be a reset, and a task among them lost
 				c.close()
 			}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -18,7 +18,6 @@
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/frame"
 	"quartzpoint/internal/pool"
-	"quartzpoint/internal/rig"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/standin"
 	"quartzpoint/internal/terms"
@@ -57,7 +56,7 @@
 	go func() { _ = b.Serve() }()
 	go func() { owner.Run(); close(left) }()
 	t.Cleanup(func() {
-		owner.Post(func() { owner.Leave(owner.Now(), 0) })
+		owner.Leave(0)
 		select {
 		case <-left:
 		case <-time.After(standin.Patience):
@@ -146,12 +145,7 @@
 			router.Send(t, c.bytes)
 			var errors []string
 			answered := map[uint32]int{}
-			for {
-				got, err := rig.ReadReply(router)
-				if err != nil {
-					require.ErrorIs(t, err, io.EOF, "answers were cut short, or the connection reset: %v %v", errors, answered)
-					break
-				}
+			for _, got := range router.Rest(t) {
 				require.Equal(t, byte(11), got.Type)
 				if got.Stream == 0 {
 					assert.Equal(t, byte(51), got.Code)
--- a/internal/server/crossing_test.go
+++ b/internal/server/crossing_test.go
@@ -88,7 +88,7 @@
 	b := newBench(t)
 	b.pool.Ready()
 	b.unheard.Store(true)
-	b.inTurn(func() { b.Leave(b.Now(), 4*time.Second) })
+	b.Leave(4 * time.Second)
 	require.Eventually(t, func() bool {
 		retired := false
 		b.inTurn(func() { retired = b.retired })
@@ -120,7 +120,7 @@
 	b.bound(t)
 	b.inTurn(func() {
 		came := b.Now() - 300*time.Millisecond
-		b.Leave(came, 3*time.Second)
+		b.leave(came, 3*time.Second)
 		assert.Equal(t, came+3*time.Second-noticeDelay, b.stop)
 		late := Asked{ID: standin.Call(1), Type: "pay", HeldKB: 20, Rank: 0.9, Waits: time.Minute, Caller: b, Stream: 1}
 		late.Arrived = came + 401*time.Millisecond // the site's grace is 400 ms
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// Leave takes the notice to leave, which came at a moment (by Now) and lets so much time. A second one changes nothing:
-// the time runs from the first.
-func (s *Server) Leave(came, within time.Duration) {
+// Leave takes the notice to leave, from any goroutine. The time to the stop runs from here, not from the owner's turn.
+func (s *Server) Leave(within time.Duration) {
+	came := s.Now()
+	s.Post(func() { s.leave(came, within) })
+}
+
+// leave begins to go. A second notice changes nothing: the time runs from the first.
+func (s *Server) leave(came, within time.Duration) {
 	if s.noticed > 0 {
 		return
 	}
--- a/internal/server/numbers.go
+++ b/internal/server/numbers.go
@@ -194,10 +194,6 @@
 	s.answerWaiting(n)
 }
 
-// mostNumbers bounds the table of numbers by the program's own memory. What their site's memory holds bounds it too, by
-// the decisions; that is stated with the settings and may be any figure.
-func (s *Server) mostNumbers() int { return max(64, s.limits.MemoryMB<<20/entryShare/entryBytes) }
-
 func (s *Server) answerWaiting(n *number) {
 	waiting := n.waiting
 	n.waiting = nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,7 +47,7 @@
 }
 
 // Server turns events into rounds. Its methods are for its one owner, the goroutine that is in Run, but for
-// Post and Nudge.
+// Post, Nudge, Leave, Now and Customer.
 type Server struct {
 	module *choice.Choice
 	terms  *terms.Terms
@@ -67,24 +67,25 @@
 	posted []func()
 	woken  chan struct{}
 
-	tasks     map[string]*Task
-	owner     map[*choice.Task]*Task
-	round     choice.Round
-	touched   bool
-	spent     map[string]time.Duration // calls of at-most-once tasks that may have run, until when they are known
-	spending  []string                 // the same, oldest first
-	customers map[string]int
-	numbers   map[string]*number
-	kept      int // bytes of the results that they hold
-	mayKeep   int
-	ledger    Ledger         // of the numbers, nil without one
-	entering  []*Task        // whose numbers it does not have yet
-	echoed    []*choice.Task // answered from the first in this round
-	atCall    []*choice.Task // started in this round, and made of calls
-	unbegun   []*Task        // whose calls the composer did not take
-	gauges    choice.Gauges
-	fresh     bool // gauges came for the alarm in hand
-	notices   []runs.Notice
+	tasks       map[string]*Task
+	owner       map[*choice.Task]*Task
+	round       choice.Round
+	touched     bool
+	spent       map[string]time.Duration // calls of at-most-once tasks that may have run, until when they are known
+	spending    []string                 // the same, oldest first
+	customers   map[string]int
+	numbers     map[string]*number
+	kept        int // bytes of the results that they hold
+	mayKeep     int
+	mostNumbers int
+	ledger      Ledger         // of the numbers, nil without one
+	entering    []*Task        // whose numbers it does not have yet
+	echoed      []*choice.Task // answered from the first in this round
+	atCall      []*choice.Task // started in this round, and made of calls
+	unbegun     []*Task        // whose calls the composer did not take
+	gauges      choice.Gauges
+	fresh       bool // gauges came for the alarm in hand
+	notices     []runs.Notice
 
 	alarms    []time.Duration
 	asked     uint64        // nonce of the alarm's poll, 0 without one
@@ -120,9 +121,11 @@
 		terms: told, counts: counts, log: log, began: time.Now(), limits: limits,
 		spent: map[string]time.Duration{}, customers: map[string]int{},
 		numbers: map[string]*number{}, mayKeep: limits.MemoryMB << 20 / numberShare,
-		types: map[string]*choice.TrafficType{},
-		most:  max(64, limits.MemoryMB*1024/taskKB/taskShare),
-		woken: make(chan struct{}, 1), parts: nothing{},
+		// What the site's own memory holds of numbers, the decisions bound; that is stated with the settings, as any figure.
+		mostNumbers: max(64, limits.MemoryMB<<20/entryShare/entryBytes),
+		types:       map[string]*choice.TrafficType{},
+		most:        max(64, limits.MemoryMB*1024/taskKB/taskShare),
+		woken:       make(chan struct{}, 1), parts: nothing{},
 		tasks: map[string]*Task{}, owner: map[*choice.Task]*Task{},
 		good: true,
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -64,7 +64,7 @@
 	go link.Run(ctx)
 	go func() { b.Run(); close(b.left) }()
 	t.Cleanup(func() {
-		b.Post(func() { b.Leave(b.Now(), 0) })
+		b.Leave(0)
 		select {
 		case <-b.left:
 		case <-time.After(standin.Patience):
@@ -398,7 +398,7 @@
 	b.pool.Ready()
 	b.ask(1, "pay", time.Minute)
 	b.pool.Next(t, "spawn")
-	b.Post(func() { b.Leave(b.Now(), 6*time.Second) })
+	b.Leave(6 * time.Second)
 	b.ask(2, "pay", time.Minute) // within the grace of 400 ms
 	b.pool.Next(t, "spawn")
 	require.Eventually(t, func() bool {
@@ -424,7 +424,7 @@
 		b.ask(stream, "pay", time.Minute)
 	}
 	b.pool.Next(t, "spawn")
-	b.Post(func() { b.Leave(b.Now(), 500*time.Millisecond) })
+	b.Leave(500 * time.Millisecond)
 	<-b.left
 	assert.Len(t, b.answers, 40)
 }
@@ -432,7 +432,8 @@
 // A peer that does not read its answers kept the process from leaving until it was killed.
 func TestLeavingWithAPeerThatDoesNotRead(t *testing.T) {
 	b := newBench(t)
-	b.Post(func() { b.unread = true; b.Leave(b.Now(), 500*time.Millisecond) })
+	b.Post(func() { b.unread = true })
+	b.Leave(500 * time.Millisecond)
 	select {
 	case <-b.left:
 	case <-time.After(standin.Patience):
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -125,7 +125,7 @@
 		s.counts.Saw("task beyond the program's own memory")
 	case kind.Repeats == choice.Numbered && a.Number == "":
 		s.counts.Saw("numbered task without a number")
-	case kind.Repeats == choice.Numbered && s.numbers[numberKey(a.Type, a.Number)] == nil && len(s.numbers) >= s.mostNumbers():
+	case kind.Repeats == choice.Numbered && len(s.numbers) >= s.mostNumbers && s.numbers[numberKey(a.Type, a.Number)] == nil:
 		s.counts.Saw("numbered task beyond the program's own memory")
 	case kind.Repeats == choice.Numbered && s.clashes(a):
 		s.counts.Saw("number of another task")
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -289,6 +289,19 @@
 	return reply
 }
 
+// Rest reads to the end of the connection, which must be an orderly one.
+func (r *Router) Rest(t testing.TB) (all []Reply) {
+	t.Helper()
+	for {
+		reply, err := rig.ReadReply(r)
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF, "the connection was reset, or an answer cut short, behind %v", all)
+			return all
+		}
+		all = append(all, reply)
+	}
+}
+
 // Closed waits for the server to close the connection.
 func (r *Router) Closed(t testing.TB) {
 	t.Helper()
