Exchange: an ask and a vote meet their peer by one function; a key file is read by one

Behaviour as before. Vote wrote Ask's dialling, time limit, nonce and opening again; meet and newAsks serve both. Three places read a key file where one was stated; keysOf does. A vote's step is two plain checks, no switch of one case.

--- a/cmd/quartzpoint/lease.go
+++ b/cmd/quartzpoint/lease.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"quartzpoint/internal/control"
-	"quartzpoint/internal/exchange"
 	"quartzpoint/internal/leasing"
 	"quartzpoint/internal/own"
 )
@@ -19,12 +18,9 @@
 	if ours.Lease == nil {
 		return nil, nil
 	}
-	var keys exchange.Keys
-	if ours.Peers.KeyFile != "" {
-		var err error
-		if keys, err = exchange.ReadKeys(ours.Peers.KeyFile); err != nil {
-			return nil, err
-		}
+	keys, err := keysOf(ours.Peers.KeyFile)
+	if err != nil {
+		return nil, err
 	}
 	keeper, err := leasing.New(leasing.Settings{
 		Name: ours.Peers.Listen, Duties: ours.Lease.Duties, Terms: ours.Lease.Terms, Peers: ours.Peers.Ask,
--- a/cmd/quartzpoint/peers.go
+++ b/cmd/quartzpoint/peers.go
@@ -24,6 +24,14 @@
 	giver  *exchange.Giver
 }
 
+// keysOf reads a key file, where one is stated.
+func keysOf(file string) (exchange.Keys, error) {
+	if file == "" {
+		return nil, nil
+	}
+	return exchange.ReadKeys(file)
+}
+
 // begin takes the part that is stated: it gives where listen is, and asks where peers are. Both end with the
 // context. What the server learns goes to peers and to kept, which may be nil.
 func begin(
@@ -33,13 +41,11 @@
 	if stated == nil {
 		return e, nil
 	}
-	var keys exchange.Keys
-	var err error
-	if stated.KeyFile != "" {
-		if keys, err = exchange.ReadKeys(stated.KeyFile); err != nil {
-			return nil, err
-		}
-	} else {
+	keys, err := keysOf(stated.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	if stated.KeyFile == "" {
 		log.Warn("peers without a key", "key_file", "", "so", "loopback addresses only")
 	}
 	if stated.Listen != "" {
@@ -95,12 +101,9 @@
 
 // Run asks the peer once.
 func (cmd *showing) Run() error {
-	var keys exchange.Keys
-	var err error
-	if cmd.KeyFile != "" {
-		if keys, err = exchange.ReadKeys(cmd.KeyFile); err != nil {
-			return err
-		}
+	keys, err := keysOf(cmd.KeyFile)
+	if err != nil {
+		return err
 	}
 	view, err := exchange.Ask(context.Background(), cmd.Address, keys)
 	if err != nil {
--- a/internal/exchange/asker.go
+++ b/internal/exchange/asker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -16,19 +15,11 @@
 // Ask has one talk with a running server and returns what it has seen, older by the time that the talk took:
 // how long the view itself was on the way is not known, but no longer than that.
 func Ask(ctx context.Context, address string, keys Keys) (knowledge.View, error) {
-	ctx, cancel := context.WithTimeout(ctx, talkWait)
-	defer cancel()
 	began := time.Now()
-	var dialer net.Dialer
-	link, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return knowledge.View{}, fmt.Errorf("peer: %w", err)
-	}
-	defer link.Close()
-	defer context.AfterFunc(ctx, func() { link.Close() })() // a talk waits for no peer past its end
-	view, err := talk(link, keys.first())
+	a := newAsks(keys.first())
+	view, err := meet(ctx, address, a, a.step)
 	if err != nil {
-		return knowledge.View{}, fmt.Errorf("peer %s: %w", address, errors.Join(err, ctx.Err()))
+		return knowledge.View{}, err
 	}
 	return view.Aged(time.Since(began)), nil
 }
@@ -39,6 +30,16 @@
 	if len(ballot) == 0 || len(ballot) > mostBallot {
 		return nil, fmt.Errorf("ballot of %d bytes, 1 to %d allowed", len(ballot), mostBallot)
 	}
+	v := &votes{asks: newAsks(keys.first()), ballot: ballot}
+	answer, err := meet(ctx, address, v.asks, v.step)
+	if err != nil {
+		return nil, err
+	}
+	return *answer, nil
+}
+
+// meet opens a talk with a running server and goes on by step until that has what it waits for.
+func meet[T any](ctx context.Context, address string, a *asks, step func(message) ([]byte, *T, error)) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, talkWait)
 	defer cancel()
 	var dialer net.Dialer
@@ -47,17 +48,15 @@
 		return nil, fmt.Errorf("peer: %w", err)
 	}
 	defer link.Close()
-	defer context.AfterFunc(ctx, func() { link.Close() })()
-	v := votes{asks: asks{key: keys.first(), nonce: make([]byte, nonceSize)}, ballot: ballot}
-	_, _ = rand.Read(v.nonce) // never fails
-	if _, err := link.Write(v.begin()); err != nil {
-		return nil, fmt.Errorf("peer %s: %w", address, err)
+	defer context.AfterFunc(ctx, func() { link.Close() })() // a talk waits for no peer past its end
+	var got *T
+	if _, err = link.Write(a.begin()); err == nil {
+		got, err = converse(link, step)
 	}
-	answer, err := converse(link, v.step)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", address, errors.Join(err, ctx.Err()))
 	}
-	return *answer, nil
+	return got, nil
 }
 
 // converse reads frames and hands each to step until it has what it waits for.
@@ -92,19 +91,6 @@
 	}
 }
 
-func talk(link net.Conn, key []byte) (knowledge.View, error) {
-	a := asks{key: key, nonce: make([]byte, nonceSize)}
-	_, _ = rand.Read(a.nonce) // never fails
-	if _, err := link.Write(a.begin()); err != nil {
-		return knowledge.View{}, err
-	}
-	view, err := converse(link, a.step)
-	if err != nil {
-		return knowledge.View{}, err
-	}
-	return *view, nil
-}
-
 // Asker asks a newcomer's peers until it has their word or does not need it any more.
 type Asker struct {
 	Peers  []string
--- a/internal/exchange/talk.go
+++ b/internal/exchange/talk.go
@@ -16,6 +16,7 @@
 import (
 	"bytes"
 	"crypto/hmac"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
@@ -295,6 +296,13 @@
 	return false, nil
 }
 
+// newAsks begins a talk under a key.
+func newAsks(key []byte) *asks {
+	a := &asks{key: key, nonce: make([]byte, nonceSize)}
+	_, _ = rand.Read(a.nonce) // never fails
+	return a
+}
+
 func (a *asks) begin() []byte { return pack(message{Kind: hello, Nonce: a.nonce, Key: name(a.key)}) }
 
 // step takes a message and returns what is to be sent, or the whole view, which is older by what it was held
@@ -338,7 +346,7 @@
 
 // votes is the asker's side of a talk that asks for a lease.
 type votes struct {
-	asks   // its opening, and nothing of a view
+	*asks  // its opening, and nothing of a view
 	ballot []byte
 }
 
@@ -350,12 +358,11 @@
 		}
 		return pack(message{Kind: vote, Ballot: v.ballot, Proof: sign(v.key, "vote", v.theirs, v.nonce, v.ballot)}), nil, nil
 	}
-	switch {
-	case m.Kind == voted && v.theirs != nil && len(m.Ballot) > 0 && len(m.Ballot) <= mostBallot:
-		if !proven(m.Proof, v.key, "voted", v.nonce, v.theirs, m.Ballot) {
-			return nil, nil, errors.New("proof of the answer is wrong")
-		}
-		return nil, &m.Ballot, nil
+	if m.Kind != voted || v.theirs == nil || len(m.Ballot) == 0 || len(m.Ballot) > mostBallot {
+		return nil, nil, errSequence
 	}
-	return nil, nil, errSequence
+	if !proven(m.Proof, v.key, "voted", v.nonce, v.theirs, m.Ballot) {
+		return nil, nil, errors.New("proof of the answer is wrong")
+	}
+	return nil, &m.Ballot, nil
 }
