Types that call a dependency are served: calls over HTTP, counted by the decisions

Log line: `stopped error="traffic type ... calls a dependency, which this program can't serve yet"`. At fault: server.New, the check of type.N.calls.

Change: the configuration's `index` names the dependency; the pool's `blocked` has a run stand at a call, choice/ lets it go by the dependency's budget, internal/dependency makes it (POST /lookup, X-Parent-Id, X-Budget-Ms; X-Shed in the reply says that it never ran), and `supply` hands the reply over, also across a lost link. SIGHUP moves the address. Without an address such types are turned away at once with a time to come back; all else is served.

Not carried: leaving a call out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,7 @@
 	callStart    = 0.4              // part of it that it starts with
 	callLeast    = 0.1              // part of it that strain leaves
 	few          = 4.0              // tasks or calls that are half believed
+	callLost     = 8.0              // times as long as usual, after which a call is taken for lost
 	callRise     = 0.05             // part of it that the room gains in a quarter of a second
 	strainShare  = 0.5              // part of that room open to tasks that can do without, under strain
 	customerSpan = 10 * time.Second // over which a customer's share is judged
@@ -722,6 +723,12 @@
 			left -= pick(c.terms, "calls-linger", time.Duration(0)).Seconds()
 			patience = min(patience, max(time.Duration(left*float64(time.Second)), 2*c.callTime()))
 		}
+		// A call that is never answered would keep its run, and its place in the room, until the task is given up.
+		// What may be repeated asks again instead, each time later: a dependency that has grown slow is no lost call.
+		if c.callUsual.count > 0 && t.Type.Repeats == Reissuable {
+			lost := c.callUsual.mean * callLost * math.Exp2(float64(min(t.refusals, 6)))
+			patience = min(patience, time.Duration(lost*float64(time.Second)))
+		}
 		inHand++
 		t.calledAt = c.now
 		c.enter(t, calling)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -661,3 +661,28 @@
 	assert.InDelta(t, float64(need), float64(b.need(b.task("real", 0))), float64(ms))
 	assert.False(t, b.erring)
 }
+
+// A site whose link to its dependency was cut for seconds (split+brink): the calls that were under way were never
+// answered, each kept its place until its task was given up, and the server stood behind one or two of them.
+func TestACallThatIsNeverAnsweredIsAskedAgain(t *testing.T) {
+	b := newBench(map[string]any{"type.0.skip-share": 0.0})
+	for range 10 {
+		b.callUsual.take(0.02, 500)
+	}
+	for kind, within := range []time.Duration{160 * ms, 2 * time.Second, 2 * time.Second} {
+		x := b.task("x", kind)
+		b.round(Round{Arrived: []*Task{x}})
+		assert.Equal(t, "call x", b.round(Round{AtCall: []*Task{x}}))
+		assert.InDelta(t, within, b.patience, float64(ms), "what may not run twice is waited for")
+		if kind > 0 {
+			continue
+		}
+		for again := within * 2; again < 640*ms; again *= 2 {
+			b.round(Round{Returned: []Ending{{Task: x, Outcome: Unclear, Took: within}}})
+			assert.Equal(t, "call x", b.pass(time.Second/4, Gauges{CPU: 0.5}))
+			assert.InDelta(t, again, b.patience, float64(ms), "one that has only grown slow is heard in the end")
+		}
+		end := []Ending{{Task: x}}
+		b.round(Round{Returned: end, Ended: end})
+	}
+}
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -71,6 +71,7 @@
 	}
 	link := pool.New(s.Pool, s.Limits.MemoryMB<<20/linkShare, log, counts.Saw, owner.Nudge)
 	owner.Serve(link, routers)
+	calls := calling(s, owner, link, counts, log)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -113,7 +114,7 @@
 	// One goroutine each: the notice must not wait until a new configuration has been read, as the stop does not.
 	go func() {
 		for range anew {
-			s = s.again(link, reporter, owner, log)
+			s = s.again(link, calls, reporter, owner, log)
 			stop.Store(s.StopMS)
 			exchanging.again(log)
 		}
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/dependency"
 	"quartzpoint/internal/membership"
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/server"
@@ -23,6 +25,7 @@
 	Listen  string `json:"listen"`
 	Pool    string `json:"pool"`
 	Members string `json:"members"`
+	Index   string `json:"index"` // the dependency that runs call, empty where none does
 	Seed    string `json:"seed"`
 	StopMS  int64  `json:"stop_ms"`
 	Limits  struct {
@@ -75,14 +78,44 @@
 
 // bounds are those of the program itself.
 func (s start) bounds() server.Limits {
-	return server.Limits{MemoryMB: s.Limits.MemoryMB, Sockets: s.Limits.Sockets, Numbers: true, Customers: true}
+	return server.Limits{
+		MemoryMB: s.Limits.MemoryMB, Sockets: s.Limits.Sockets - s.callSockets(),
+		Numbers: true, Customers: true, Calls: s.Index != "",
+	}
+}
+
+// callShare is the part of the descriptors, as a divisor, that calls to the dependency may take.
+const callShare = 8
+
+// callSockets are the descriptors that calls to the dependency may take.
+func (s start) callSockets() int {
+	if s.Index == "" {
+		return 0
+	}
+	return max(1, s.Limits.Sockets/callShare)
+}
+
+// calling makes the server call the dependency where the configuration names one, and gives what calls it, nil without.
+// Types that call and have none are turned away: all others are served.
+func calling(s start, owner *server.Server, link *pool.Link, counts *check.Counts, log *slog.Logger) *dependency.Caller {
+	if unserved := owner.Unserved(); len(unserved) > 0 {
+		log.Warn("types that call a dependency are turned away, as the configuration names none", "types", unserved)
+	}
+	if s.Index == "" {
+		return nil
+	}
+	calls := dependency.New(s.Index, s.callSockets(), log, counts.Saw, owner.CallEnded)
+	owner.Depend(calls, link)
+	return calls
 }
 
 // again reads the configuration anew, sees that the whole of it could be started with, and then applies what
 // can change while tasks run: the two addresses, the time to the stop, and the settings that terms.Moves
 // names, which the owner takes in its turn. It gives what is in force from then on; a file that is missing,
 // half written or wrong changes nothing.
-func (s start) again(link *pool.Link, reporter *membership.Reporter, owner *server.Server, log *slog.Logger) start {
+func (s start) again(link *pool.Link, calls *dependency.Caller, reporter *membership.Reporter, owner *server.Server,
+	log *slog.Logger,
+) start {
 	refuse := func(err error) start {
 		log.Warn("new configuration refused, the old one stays", "error", err)
 		return s
@@ -109,6 +142,11 @@
 	if n.Pool != s.Pool {
 		link.Move(n.Pool)
 	}
+	index := s.Index
+	if calls != nil && n.Index != "" && n.Index != index {
+		index = n.Index
+		calls.Move(index)
+	}
 	moved, settings := terms.Moves(s.agreed, agreed.Values)
 	var fixed []string
 	for _, key := range []struct {
@@ -116,6 +154,7 @@
 		differ bool
 	}{
 		{"name", n.Name != s.Name}, {"listen", n.Listen != s.Listen}, {"limits", n.Limits != s.Limits},
+		{"index", n.Index != index},
 		{"settings " + strings.Join(settings, ","), len(settings) > 0},
 	} {
 		if key.differ {
@@ -127,8 +166,8 @@
 		maps.DeleteFunc(s.agreed, func(_ string, v any) bool { return v == nil })
 		owner.Post(func() { owner.Retune(moved) })
 	}
-	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "stop_ms", n.StopMS, "moved", moved,
+	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "index", index, "stop_ms", n.StopMS, "moved", moved,
 		"only_with_a_restart", fixed)
-	s.Pool, s.Members, s.StopMS = n.Pool, n.Members, n.StopMS
+	s.Pool, s.Members, s.Index, s.StopMS = n.Pool, n.Members, index, n.StopMS
 	return s
 }
--- a/gate.go
+++ b/gate.go
@@ -188,7 +188,7 @@
 	}
 	g.good.Store(true)
 	g.owner, err = server.New(terms.Of(values, "core_use", "on_cores", "heap_share", "links"), t.Seed, server.Limits{
-		MemoryMB: t.MemoryMB, Numbers: true, Customers: true, Calls: true, RunsStay: true, Spins: spins,
+		MemoryMB: t.MemoryMB, Numbers: true, Customers: true, Calls: true, Omits: true, RunsStay: true, Spins: spins,
 	}, g.counts, t.Log)
 	if err != nil {
 		return nil, fmt.Errorf("quartzpoint: %w", err)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -304,6 +304,12 @@
 			l.saw("pool result that can't be read")
 			n.Outcome, n.Result = "failure", nil
 		}
+	case "blocked":
+		n.Kind = runs.Blocked
+		var err error
+		if n.Result, err = base64.StdEncoding.DecodeString(told.Bytes); err != nil {
+			l.saw("pool call that can't be read") // kept: the run stands there, and may do without
+		}
 	case "polled", "verified":
 		nonce, err := strconv.ParseUint(told.Nonce, 10, 64)
 		if err != nil {
@@ -374,6 +380,12 @@
 	return l.send(append(quoted([]byte(`{"verb":"proceed","task":`), task), "}\n"...))
 }
 
+// Supply has a run go on from its call with the reply.
+func (l *Link) Supply(task string, reply []byte) bool {
+	text := append(quoted([]byte(`{"verb":"supply","task":`), task), `,"bytes":"`...)
+	return l.send(append(base64.StdEncoding.AppendEncode(text, reply), "\"}\n"...))
+}
+
 // Poll asks for the gauges.
 func (l *Link) Poll() (nonce uint64, sent bool) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/runs/calls.go
@@ -0,0 +1,23 @@
+package runs
+
+import (
+	"time"
+
+	"quartzpoint/choice"
+)
+
+// Call is what a run asks of the dependency.
+type Call struct {
+	Number uint64 // never that of another
+	Task   string
+	Body   []byte        // not changed
+	Within time.Duration // it is given up on after that
+}
+
+// CallEnd is how it ended.
+type CallEnd struct {
+	Call
+	Outcome choice.Outcome
+	Took    time.Duration
+	Result  []byte
+}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -23,6 +23,7 @@
 	Polled
 	Verified
 	Unknown
+	Blocked // a run stands at a call, whose body is the result
 )
 
 // Notice is one thing that is told of runs, or of the state of a link.
--- /dev/null
+++ b/internal/server/calls_test.go
@@ -0,0 +1,156 @@
+package server
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/choice"
+	"quartzpoint/internal/runs"
+	"quartzpoint/internal/standin"
+)
+
+// askedOf is a dependency that keeps what it is asked; a test ends the calls.
+type askedOf struct {
+	calls     chan runs.Call
+	abandoned chan uint64
+}
+
+func (d *askedOf) Call(c runs.Call)      { d.calls <- c }
+func (d *askedOf) Abandon(number uint64) { d.abandoned <- number }
+
+func (d *askedOf) next(t *testing.T) runs.Call {
+	t.Helper()
+	select {
+	case c := <-d.calls:
+		return c
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "no call")
+		return runs.Call{}
+	}
+}
+
+// callSite is the usual site, where both types call a dependency that bears many calls.
+var callSite = strings.NewReplacer(`"below":"none","calls-by-class":[false,false]`,
+	`"below":"shared","calls-out":20,"calls-over":5000000,"calls-by-class":[true,true]`).Replace(standin.Site)
+
+func newCallBench(t *testing.T, site string) (*bench, *askedOf) {
+	d := &askedOf{make(chan runs.Call, 16), make(chan uint64, 16)}
+	b := newBenchWith(t, site, Limits{MemoryMB: 96, Sockets: 256, Calls: true}, d)
+	b.pool.Ready()
+	b.bound(t)
+	return b, d
+}
+
+// atCall starts a task whose run then stands at a call.
+func (b *bench) atCall(t *testing.T, d *askedOf, stream uint32, kind string, waits time.Duration) runs.Call {
+	t.Helper()
+	b.ask(stream, kind, waits)
+	b.pool.Next(t, "spawn")
+	b.pool.Block(standin.Call(stream), []byte("what"))
+	return d.next(t)
+}
+
+// A type that calls kept the whole server from starting.
+func TestRunStandsAtItsCalls(t *testing.T) {
+	b, d := newCallBench(t, callSite)
+	c := b.atCall(t, d, 1, "browse", time.Minute)
+	assert.Equal(t, standin.Call(1), c.Task)
+	assert.Equal(t, "what", string(c.Body))
+	assert.Positive(t, c.Within)
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Took: time.Millisecond, Result: []byte("that")})
+	supplied := b.pool.Next(t, "supply")
+	assert.Equal(t, "that", string(supplied.Body))
+	b.pool.Block(standin.Call(1), []byte("and more"))
+	c = d.next(t)
+	assert.Equal(t, "and more", string(c.Body))
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.NotRun})
+	c = d.next(t) // what never ran is asked again
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Result: []byte("this")})
+	b.pool.Next(t, "supply")
+	b.pool.Finish(standin.Call(1), "success", []byte("done"))
+	assert.Equal(t, Honoured, b.next(t).Verdict)
+	assert.Empty(t, d.abandoned)
+}
+
+func TestCallThatMayHaveRun(t *testing.T) {
+	b, d := newCallBench(t, callSite)
+	c := b.atCall(t, d, 1, "pay", time.Minute)
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Unclear})
+	assert.Equal(t, GivenUp, b.next(t).Verdict, "an at-most-once task makes no call twice")
+	b.pool.Finish(standin.Call(1), "interrupted", nil)
+
+	c = b.atCall(t, d, 2, "browse", time.Minute)
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Unclear})
+	c = d.next(t)
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done})
+	b.pool.Next(t, "supply")
+}
+
+// A call goes with its task, and its end then finds nobody.
+func TestCallOfATaskThatIsOver(t *testing.T) {
+	b, d := newCallBench(t, callSite)
+	c := b.atCall(t, d, 1, "browse", 2500*time.Millisecond)
+	assert.Less(t, c.Within, 2500*time.Millisecond)
+	assert.Equal(t, GivenUp, b.next(t).Verdict)
+	assert.Equal(t, c.Number, <-d.abandoned)
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Result: []byte("late")})
+	b.pool.Finish(standin.Call(1), "interrupted", nil)
+	c = b.atCall(t, d, 2, "browse", time.Minute)
+	b.pool.Finish(standin.Call(2), "failure", nil)
+	assert.Equal(t, GivenUp, b.next(t).Verdict)
+	assert.Equal(t, c.Number, <-d.abandoned)
+	b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done})
+	b.known(t)
+	for len(b.pool.Commands) > 0 {
+		assert.NotEqual(t, "supply", (<-b.pool.Commands).Verb)
+	}
+}
+
+// A reply that was on a link when it was lost is told again, and one that came while there was none is told then.
+func TestReplyAcrossALostLink(t *testing.T) {
+	for _, halt := range []string{"suspend", "none"} {
+		t.Run(halt, func(t *testing.T) {
+			b, d := newCallBench(t, strings.Replace(callSite, `"halt":"suspend"`, `"halt":"`+halt+`"`, 1))
+			c := b.atCall(t, d, 1, "pay", time.Minute)
+			b.inTurn(func() {
+				b.callEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Result: []byte("that")})
+				b.pool.Cut() // before the word is written
+			})
+			assert.Equal(t, "that", string(b.pool.Next(t, "supply").Body))
+			b.bound(t)
+			b.pool.Block(standin.Call(1), []byte("more"))
+			c = d.next(t)
+			b.pool.Cut()
+			require.Eventually(t, func() bool {
+				asked := true
+				b.inTurn(func() { _, asked = b.link.Poll() })
+				return !asked
+			}, standin.Patience, time.Millisecond)
+			b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Result: []byte("this")})
+			assert.Equal(t, "this", string(b.pool.Next(t, "supply").Body))
+			b.pool.Finish(standin.Call(1), "success", nil)
+			assert.Equal(t, Honoured, b.next(t).Verdict)
+		})
+	}
+}
+
+// Where no dependency is named, what calls it is turned away as never run, and all else is served.
+func TestTypesThatCallNobody(t *testing.T) {
+	site := strings.Replace(standin.Site, `"calls-by-class":[false,false]`, `"calls-by-class":[true,false]`, 1)
+	b := newBenchAt(t, site)
+	b.pool.Ready()
+	b.bound(t)
+	assert.Equal(t, []string{"browse"}, b.Unserved())
+	b.ask(1, "browse", time.Minute)
+	a := b.next(t)
+	assert.Equal(t, Dismissed, a.Verdict)
+	assert.Equal(t, time.Second, a.ComeBack)
+	b.ask(2, "pay", time.Minute)
+	b.pool.Next(t, "spawn")
+	b.pool.Finish(standin.Call(2), "success", nil)
+	assert.Equal(t, Honoured, b.next(t).Verdict)
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -22,6 +22,8 @@
 		s.finished(n)
 	case runs.Unknown:
 		s.unknown(n)
+	case runs.Blocked:
+		s.blocked(n)
 	case runs.Verified:
 		for i, c := range s.checks {
 			if c.nonce == n.Nonce {
@@ -65,7 +67,10 @@
 
 // end files the end of a run. It answers for itself: with the result, or as given up on.
 func (s *Server) end(t *Task, outcome choice.Outcome, took time.Duration, result []byte) {
-	t.active = false
+	t.active, t.atCall, t.supplied = false, false, nil
+	if t.call > 0 {
+		s.dependency.Abandon(t.call)
+	}
 	s.round.Ended = append(s.round.Ended, choice.Ending{Task: &t.Task, Outcome: outcome, Took: took})
 	s.touched = true
 	s.firstEnded(t, outcome, result)
@@ -127,9 +132,11 @@
 	for _, t := range open {
 		switch {
 		case t.waits: // for the ledger, and was never sent
+		case t.supplied != nil && !t.answered && (!t.supplied.sent || t.unsure && !pauses):
+			s.goOn(t, t.supplied) // a run that has gone on already takes no notice
 		case !t.sent && t.answered:
 			s.end(t, choice.Stopped, 0, nil)
-		case !t.sent, t.unsure && !t.answered && t.Type.Repeats == choice.Reissuable:
+		case !t.sent, t.unsure && !t.answered && t.supplied == nil && t.Type.Repeats == choice.Reissuable:
 			t.sent, t.unsure = false, false
 			s.spawn(t)
 		case t.unsure && !t.answered && pauses:
@@ -173,8 +180,16 @@
 			s.end(t, choice.Stopped, 0, nil) // no further end will be told
 		case t.answered:
 		case stands:
+			if t.supplied != nil { // first, as behind proceed it might be taken for the reply to its next call
+				s.goOn(t, t.supplied)
+			}
 			t.mark = s.link.Next()
 			t.unsure = !s.link.GoOn(t.id) // lost again: in doubt still
+		case t.atCall: // it has gone on, and stands at its next call
+		case t.supplied != nil:
+			s.counts.Saw("run not known to have gone on from its call, told again")
+			s.goOn(t, t.supplied)
+			s.link.GoOn(t.id)
 		default:
 			s.counts.Saw("run not known to have begun, sent again")
 			t.sent = false
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -69,6 +69,10 @@
 	waits    bool    // to run once the ledger has that
 	entry    uint64  // the ledger's mark
 	stands   bool    // paused meanwhile
+	atCall   bool    // its run stands at a call
+	asks     []byte  // what that call is to carry
+	call     uint64  // the call of it that the dependency has, 0 without one
+	supplied *supply // what it last went on with from a call
 }
 
 // doubt is how far the sorting out of a run has come of which it is not known whether it began.
@@ -107,6 +111,10 @@
 	switch {
 	case kind == nil:
 		s.counts.Saw("task of an unknown type")
+	case s.unserved[a.Type]:
+		s.counts.Saw("task of a type that calls, without a dependency")
+		a.Caller.Answer(a.Stream, Answer{Verdict: Dismissed, Level: s.level, ComeBack: s.longest()})
+		return nil
 	case s.tasks[a.ID] != nil:
 		s.counts.Saw("task whose call is known already")
 		if s.tasks[a.ID].active || s.tasks[a.ID].sent {
@@ -202,6 +210,9 @@
 	if t.composed && t.sent && t.active {
 		s.parts.Pause(t.id)
 	}
+	if t.call > 0 {
+		s.dependency.Abandon(t.call)
+	}
 }
 
 // settle forgets a task for which nothing more can come.
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -36,6 +36,20 @@
 	Verify(nonce uint64) (asked bool)
 }
 
+// Blocking is a Pool that tells where its runs stand at a call.
+type Blocking interface {
+	// Supply has such a run go on with the reply.
+	Supply(id string, reply []byte) (asked bool)
+}
+
+// Dependency makes the calls that the pool's runs stand at. All is called by the owner of decisions, and nothing of it
+// may wait: how each call ended comes by CallEnded, once.
+type Dependency interface {
+	Call(c runs.Call)
+	// Abandon ends a call whose reply is of no use any more.
+	Abandon(number uint64)
+}
+
 // Composer runs tasks that are made of calls to dependencies. They take no core while they wait, so the
 // decisions hear of them as being at a call: they begin once the decisions let that go, and must end by Until.
 type Composer interface {
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -102,6 +102,10 @@
 		c.Call(patience)
 		return
 	}
+	if of != nil && of.atCall {
+		s.placeCall(of, patience)
+		return
+	}
 	s.counts.That(of != nil && of.composed && !of.sent, "a call was to be made for a task without any, or twice")
 	if of == nil || !of.composed || of.sent {
 		return
