Calls of a fleet keep to one budget: a share too small for a call gives turns, not one call each

Seen in a test of 1, 8, 30 and 350 servers on one dependency that bears 10 calls on the mean of 5 s: 350 that begin, or rest and then meet a burst, in the same moment made 350 calls of 0.5 s in 5 s, where N is 100 and N + 2 root N + 2 is 122; of 1.5 s 350 to 47. At fault: placeCalls, `inHand+1 > max(1, c.callRoom) || c.callSaved <= 0`: each process had room for one call at once, however small its share. Ruled out: 1 to 30 servers, and calls that a share bears, keep to the bound as before.

Change: one turn for each call that the room allows, at a phase drawn once, open for what the share leaves beside the room. Before a call's time is known it is guessed, and at a cold start more cautiously, as the whole fleet may know as little; one that ended without a reply raises the guess. Where no share is told nothing changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,11 +28,12 @@
 	degraded     = 1.5              // short average of latency over the long one
 	mostPerCore  = 6.0              // ceiling of the limit, in tasks a core
 	crowdShare   = 0.8              // part of the survived crowd that may be in flight
-	hardMemory   = 0.9              // part of the memory that is ever planned for
+	hardMemory   = 0.9              // part of the memory, or of the calls survived, that is ever planned for
 	callMost     = 0.7              // part of its share of the dependency that a server ever plans for
 	callStart    = 0.4              // part of it that it starts with
 	callLeast    = 0.1              // part of it that strain leaves
 	few          = 4.0              // tasks or calls that are half believed
+	noShare      = 1e-3             // taken where none is told: a call goes now and then
 	callLost     = 8.0              // times as long as usual, after which a call is taken for lost
 	callRise     = 0.05             // part of it that the room gains in a quarter of a second
 	strainShare  = 0.5              // part of that room open to tasks that can do without, under strain
@@ -95,6 +96,8 @@
 	callShare float64 // what the server may hold on the mean of the calls that the dependency survives
 	callRoom  float64 // what it plans to hold on the mean
 	callSaved float64 // seconds of calls in hand that it has left unused, or is ahead by
+	callGuess float64 // seconds that a call is taken to need before one is known
+	callTurns float64 // turns to make a call that have passed
 	callUsual trend
 	strained  bool  // calls take much longer than usual or come back undone
 	callsHeld bool  // a call waited for room since the last look
@@ -138,14 +141,14 @@
 	if pick(terms, "cold", false) {
 		c.coldShare = pick(terms, "cold-share", 0.0)
 	}
-	c.callShare = max(pick(terms, "calls-share", 0.0), 1e-3) // a share of nothing lets a call go now and then
+	c.callShare = max(pick(terms, "calls-share", 0.0), noShare)
 	if pick(terms, "below", "shared") == "tier" {
 		// Servers below that run this code guard themselves and tell no share: what may be at calls is what
 		// the crowd here allows, and the room moves by what comes back, turned away or late.
 		c.callShare = crowdShare * pick(terms, "crowd", 2.0) * c.cores
 	}
 	c.callRoom = c.callShare * callStart
-	c.callSaved = c.callRoom
+	c.callSaved, c.callTurns = c.callRoom, c.rng.Float64()
 	kinds := map[string]Repeats{"numbered": Numbered, "at-most-once": AtMostOnce}
 	for i := range int(pick(terms, "types", 0.0)) {
 		of := "type." + strconv.Itoa(i) + "."
@@ -161,6 +164,10 @@
 			runs:         newRing(6*time.Second, 12),
 		}
 		c.Types = append(c.Types, t)
+		c.callGuess = max(c.callGuess, t.ContractTime.Seconds()/guess)
+		if c.coldShare < 1 { // at a release the whole fleet knows as little, in the same moment
+			c.callGuess = max(c.callGuess, t.ContractTime.Seconds()/2)
+		}
 	}
 	for range int(pick(terms, "customers", 0.0)) {
 		c.customers = append(c.customers, newRing(customerSpan, 10))
@@ -323,6 +330,7 @@
 	case Unclear:
 		c.called.add(c.now, 1, e.Took.Seconds()) // abandoned at once, it tells of the server's patience only
 		c.holdsCall(pick(c.terms, "calls-linger", time.Duration(0)))
+		c.callGuess = max(c.callGuess, e.Took.Seconds())
 	default:
 		c.called.add(c.now, 0, 0, 1)
 	}
@@ -709,7 +717,7 @@
 		if c.now < t.notBefore {
 			continue
 		}
-		if inHand+1 > max(1, c.callRoom) || c.callSaved <= 0 || on+inHand+1 > c.crowdRoom() {
+		if inHand+1 > max(1, c.callRoom) || c.callSaved <= 0 || !c.callsTurn() || on+inHand+1 > c.crowdRoom() {
 			c.callsHeld = true
 			continue
 		}
@@ -723,8 +731,8 @@
 			left -= pick(c.terms, "calls-linger", time.Duration(0)).Seconds()
 			patience = min(patience, max(time.Duration(left*float64(time.Second)), 2*c.callTime()))
 		}
-		// A call that is never answered would keep its run, and its place in the room, until the task is given up.
-		// What may be repeated asks again instead, each time later: a dependency that has grown slow is no lost call.
+		// A call that is never answered would keep its place until its task is given up. What may run again asks
+		// again, each time later, as a dependency may just have grown slow.
 		if c.callUsual.count > 0 && t.Type.Repeats == Reissuable {
 			lost := c.callUsual.mean * callLost * math.Exp2(float64(min(t.refusals, 6)))
 			patience = min(patience, time.Duration(lost*float64(time.Second)))
@@ -736,6 +744,17 @@
 	}
 }
 
+// callsTurn spreads over a fleet calls that are more than a share bears: hundreds of servers that begin one
+// each at a release, or in a burst, pass what the dependency survives. A turn comes for each call that the
+// room allows, at a phase of the server's own, and lasts for what the share leaves. Few with work wait more.
+func (c *Choice) callsTurn() bool {
+	over := max(pick(c.terms, "calls-over", 5*time.Second), sweep).Seconds()
+	spare := (c.callShare*hardMemory - c.callRoom) * over
+	return c.callShare <= noShare || math.Mod(c.callTurns, 1) < spare/c.callTook()
+}
+
+func (c *Choice) callTook() float64 { return cmp.Or(c.callUsual.mean, c.lentCallTime(), c.callGuess) }
+
 // callsSeen sums up the latest calls. A small server has one in hand at a time, so a late one counts at once.
 func (c *Choice) callsSeen(buckets int) [4]float64 {
 	seen := c.called.recent(c.now, buckets)
@@ -763,6 +782,7 @@
 	c.ticks++
 	c.numbers = slices.DeleteFunc(c.numbers, func(t *Task) bool { return t.kept <= c.now })
 	c.callSaved = min(c.callSaved+c.callRoom*passed, c.callRoom)
+	c.callTurns += passed * c.callRoom / c.callTook()
 	c.weighLent(c.now)
 	for _, t := range c.active {
 		if t.phase == over && c.halts() {
--- /dev/null
+++ b/choice/fleet_test.go
@@ -0,0 +1,116 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// sender is a server of a fleet whose tasks call one dependency.
+type sender struct {
+	*bench
+	took  time.Duration // by a call
+	calls map[*Task]Ending
+	made  []time.Duration
+}
+
+func (s *sender) Call(t *Task, patience time.Duration) {
+	s.made = append(s.made, s.at)
+	s.calls[t] = Ending{Task: t, Outcome: Done, Took: s.took}
+	if patience < s.took {
+		s.calls[t] = Ending{Task: t, Outcome: Unclear, Took: patience}
+	}
+}
+
+// step lets a sweep pass; busy keeps a task waiting for its call.
+func (s *sender) step(busy bool) {
+	s.at += sweep
+	r := Round{Gauges: &Gauges{CPU: 0.3}}
+	for _, t := range s.active {
+		if e, made := s.calls[t]; made && t.calledAt+e.Took <= s.at {
+			delete(s.calls, t)
+			r.Returned = append(r.Returned, e)
+			if e.Outcome == Done {
+				r.Ended = append(r.Ended, e)
+			}
+		}
+	}
+	if busy && len(s.active)-len(r.Ended) <= len(s.calls) {
+		r.Arrived = append(r.Arrived, s.task("x", 0))
+	}
+	r.Now = s.at
+	s.Decide(&r, s)
+	r = Round{Now: s.at}
+	for _, t := range s.active {
+		if t.phase == running {
+			r.AtCall = append(r.AtCall, t)
+		}
+	}
+	s.Decide(&r, s)
+}
+
+// Whatever the number of servers, what they send together stays in the dependency's budget of N calls in the time that
+// it is judged over, but for chance: when all begin at once with work in hand, and when all have rested and a burst
+// comes. One call each in the same moment, at hundreds of servers, was more than it survives.
+func TestCallsOfAFleetKeepToOneBudget(t *testing.T) {
+	const budget = 10.0 // calls in hand, on the mean
+	over := 5 * time.Second
+	for _, n := range []int{1, 8, 30, 350} {
+		for _, took := range []time.Duration{100 * ms, 500 * ms, 1500 * ms} {
+			for _, rested := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d servers, %v a call, rested %t", n, took, rested), func(t *testing.T) {
+					draws := rand.New(rand.NewSource(int64(n)))
+					var fleet []*sender
+					for range n {
+						b := &bench{names: map[*Task]string{}, at: time.Second}
+						b.Choice = New(terms(map[string]any{
+							"cold": true, "calls-share": budget / float64(n), "calls-over": over, "type.0.skip-share": 0.0,
+							"type.0.contract-time": 3 * time.Second, "type.0.outer-limit": 20 * time.Second,
+							"type.0.late-share": 0.5,
+						}), draws.Int63())
+						fleet = append(fleet, &sender{bench: b, took: took, calls: map[*Task]Ending{}})
+					}
+					span, quiet := 40*time.Second, time.Duration(0)
+					if rested {
+						quiet = 45 * time.Second // with a little work in its first half, so that all know how long a call takes
+					}
+					var made []time.Duration
+					for _, s := range fleet {
+						s.Decide(&Round{Now: s.at}, s)
+						for at := time.Duration(0); at < quiet+span; at += sweep {
+							s.step(at >= quiet || at < quiet/2 && draws.Intn(100) == 0)
+						}
+						made = append(made, s.made...)
+					}
+					calls := budget * over.Seconds() / took.Seconds()
+					bound := calls + 2*math.Sqrt(calls) + 2
+					most := 0
+					for begin := time.Second; begin < time.Second+quiet+span; begin += sweep {
+						in := 0
+						for _, at := range made {
+							if at >= begin && at < begin+over {
+								in++
+							}
+						}
+						most = max(most, in)
+					}
+					assert.LessOrEqual(t, float64(most), bound, "N is %.0f", calls)
+					late := 0
+					for _, at := range made {
+						if at >= time.Second+quiet+span/2 {
+							late++
+						}
+					}
+					rate := float64(late) / (span / 2).Seconds() * took.Seconds()
+					if took < time.Duration(budget/float64(n)*hardMemory*float64(over))-200*ms { // no longer than a share bears
+						assert.Greater(t, rate, budget*callStart/2, "and the budget is used: calls in hand on the mean")
+					}
+				})
+			}
+		}
+	}
+}
