A membership service that can't be dialled is waited for, at the start and on reload

Cause: membership.New and Reporter.Move dialled, and serve.go ended the start with their error (again refused the whole new configuration): a route that is not there yet, or a name that does not resolve, kept the process from starting. Old code, with all three addresses unreachable: level=ERROR msg=stopped error="membership service at [fe80::1]:9: dial udp [fe80::1]:9: connect: invalid argument".

--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -61,10 +61,7 @@
 	if err != nil {
 		return err
 	}
-	reporter, err := membership.New(s.Name, s.Members, log)
-	if err != nil {
-		return err
-	}
+	reporter := membership.New(s.Name, s.Members, log)
 	routers, err := front.Listen(s.Listen, owner, s.bounds(), counts, log)
 	if err != nil {
 		return err
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -135,9 +135,7 @@
 		return refuse(fmt.Errorf("configuration: pool: %w", err))
 	}
 	if n.Members != s.Members {
-		if err := reporter.Move(n.Members); err != nil {
-			return refuse(err)
-		}
+		reporter.Move(n.Members)
 	}
 	if n.Pool != s.Pool {
 		link.Move(n.Pool)
--- /dev/null
+++ b/cmd/quartzpoint/unreachable_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/standin"
+)
+
+// A membership service without a way to it ended the start, and refused a new configuration. Whatever lies outside is
+// waited for: the process serves, says once what is missing, and goes on as before when a new configuration names
+// something that is there.
+func TestStartWithoutAnybodyThere(t *testing.T) {
+	const nowhere = "[fe80::1]:9" // link-local, on no link
+	p := prepare(t, builds["debug"])
+	pool, members := p.pool.Address, p.members.Address
+	standin.RewriteWith(t, p.path, p.address, nowhere, nowhere, nowhere, callSite)
+	require.NoError(t, p.cmd.Start())
+	p.endWith(t)
+	p.logged(t, "msg=serving")
+	p.logged(t, `msg="pool link down"`)
+	p.logged(t, `msg="membership reports" refused=true`)
+	router := standin.Dial(t, p.address)
+	router.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+	assert.Equal(t, byte(20), router.Next(t).Code)
+	router.Send(t, standin.Task(2, "browse", "")) // held, and run once there is a pool
+
+	p.pool.Ready()
+	there := lookups(t, "there")
+	standin.RewriteWith(t, p.path, p.address, pool, members, nowhere, callSite)
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+	p.logged(t, `msg="new configuration"`)
+	assert.Equal(t, "HB n1 UP", p.members.Next(t))
+	run := p.pool.Next(t, "spawn")
+	p.pool.Block(run.Task, []byte("what"))
+	p.logged(t, "msg=dependency reached=false")
+	standin.RewriteWith(t, p.path, p.address, pool, nowhere, there, callSite)
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+	p.logged(t, "msg=dependency reached=true")
+	p.pool.Finish(run.Task, "success", p.pool.Next(t, "supply").Body)
+	assert.Equal(t, byte(20), router.Next(t).Code)
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	router.Close()
+	assert.Zero(t, p.gone())
+	assert.NotContains(t, p.log.String(), "refused, the old one stays")
+}
