Configurations: every fault at once, in one place, and nothing valid refused

Cause: terms.FromJSON stopped at its first fault (take, walk, put), told folded stop_ms and the limits into one fault and left the settings unread where anything else was wrong; addresses were looked at on reload only, and there by resolving names; ranges were not looked at. Decoding into Go's int refused stop_ms 1500.5 and sockets 256.0 ("cannot unmarshal number 256.0 into Go struct field"), spans written as 1000000.0 ("strconv.ParseInt"), a null in a list; cores 1e18 ended the process in the runtime: "fatal error: procresize: invalid arg" (serve.go, GOMAXPROCS). Spans beyond an int64 of nanoseconds wrapped round. A type named dedup, retryable or fragile was renamed (put mapped every text), so all its tasks were turned away. {"services":{"count":1e12}} had the module make 1e12 types.

Change: told reads key by key, joins all faults, each with file and key, and reads and checks the settings too; start, SIGHUP and `check` use it alike, the latter's own copy is gone. terms.FromJSON joins its faults and knows bounds for each number; the simulator's lines are taken as they come, as before. Lacks names what no type can be without. Larger numbers than a machine has are taken for such; a contract time of 0 for a microsecond, as the decisions divide by it. Whether a host's name resolves is no fault: it is waited for. The own file's faults are told with the others at the start.

--- a/cmd/quartzpoint/check.go
+++ b/cmd/quartzpoint/check.go
@@ -3,10 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
-	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -14,8 +11,6 @@
 	"quartzpoint/internal/exchange"
 	"quartzpoint/internal/folder"
 	"quartzpoint/internal/own"
-	"quartzpoint/internal/server"
-	"quartzpoint/internal/terms"
 )
 
 // checking is the command that reads what serving would be told.
@@ -29,7 +24,8 @@
 	var faults []error
 	var whole map[string]time.Duration // that a task of each type has; unknown without the platform's configuration
 	if cmd.File != "" {
-		faults, whole = platformFaults(cmd.File)
+		s, err := told(cmd.File)
+		faults, whole = append(faults, err), s.types
 	}
 	if cmd.Own != "" {
 		ours, err := own.Read(cmd.Own)
@@ -76,35 +72,3 @@
 	}
 	return nil
 }
-
-// platformFaults are all that the platform's configuration could not be served with.
-func platformFaults(path string) (faults []error, whole map[string]time.Duration) {
-	s, seed, err := told(path)
-	faults = append(faults, err)
-	for _, a := range []struct{ key, network, address string }{
-		{"listen", "tcp", s.Listen}, {"pool", "tcp", s.Pool}, {"members", "udp", s.Members},
-	} {
-		if a.address == "" {
-			continue // told says so
-		}
-		_, err := net.ResolveTCPAddr("tcp", a.address)
-		if a.network == "udp" {
-			_, err = net.ResolveUDPAddr("udp", a.address)
-		}
-		if err != nil {
-			faults = append(faults, fmt.Errorf("configuration %s: %s: %w", path, a.key, err))
-		}
-	}
-	if len(s.Terms) == 0 {
-		return faults, nil
-	}
-	agreed, err := terms.FromJSON(s.Terms)
-	if err != nil {
-		return append(faults, fmt.Errorf("configuration %s: %w", path, err)), nil
-	}
-	made, err := server.New(agreed, int64(seed), s.bounds(), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	if err != nil {
-		return append(faults, fmt.Errorf("configuration %s: %w", path, err)), nil
-	}
-	return faults, made.Types()
-}
--- a/cmd/quartzpoint/peers_test.go
+++ b/cmd/quartzpoint/peers_test.go
@@ -56,7 +56,7 @@
 		{[]string{"check", good}, "", 0, []string{"no faults"}},
 		{[]string{"check", "--own", own("[peers]\n")}, "", 0, []string{"no faults"}},
 		{[]string{"check", bad, "--own", own("[peers]\ntotal = 1\nx = 1")}, "", 1,
-			[]string{"listen is missing", "pool:", "setting halt", "peers.total", "peers.x"}},
+			[]string{"listen is missing", "pool:", "setting extra.halt", "peers.total", "peers.x"}},
 		{[]string{"check", "--own", own("[peers]\nkey-file = \"/nowhere\"")}, "", 1, []string{"key file"}},
 		{[]string{"check", "--own", own("[state]\ndir = \"/nowhere/state\"")}, "", 1, []string{"state.dir", "/nowhere"}},
 		{[]string{"check", "--own", own("[state]\ndir = \"" + t.TempDir() + "/state\"")}, "", 0, []string{"no faults"}},
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"os"
 	"os/signal"
 	"runtime"
@@ -19,7 +19,6 @@
 	"quartzpoint/internal/own"
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/server"
-	"quartzpoint/internal/terms"
 )
 
 const (
@@ -38,26 +37,21 @@
 	notice, anew := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(notice, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(anew, syscall.SIGHUP)
-	s, seed, err := told(os.Getenv("EDGE_CONFIG"))
-	if err != nil {
-		return err
-	}
+	s, err := told(os.Getenv("EDGE_CONFIG"))
 	ours := &own.Own{}
 	if cmd.Own != "" {
-		if ours, err = own.Read(cmd.Own); err != nil {
-			return err
-		}
+		read, fault := own.Read(cmd.Own)
+		ours, err = read, errors.Join(err, fault)
 	}
-	runtime.GOMAXPROCS(max(1, int(s.Limits.Cores)))
-	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * heapPart))
-
-	agreed, err := terms.FromJSON(s.Terms)
 	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
+		return err
 	}
-	s.agreed = maps.Clone(agreed.Values) // the owner writes its own when settings move
+	runtime.GOMAXPROCS(s.Limits.cores())
+	debug.SetMemoryLimit(int64(float64(s.Limits.memory()) * heapPart))
+
+	seed := int64(s.Seed)
 	counts := check.New(log)
-	owner, err := server.New(agreed, int64(seed), s.bounds(), counts, log)
+	owner, err := server.New(s.terms, seed, s.bounds(), counts, log)
 	if err != nil {
 		return err
 	}
@@ -66,17 +60,17 @@
 	if err != nil {
 		return err
 	}
-	link := pool.New(s.Pool, s.Limits.MemoryMB<<20/linkShare, log, counts.Saw, owner.Nudge)
+	link := pool.New(s.Pool, s.Limits.megabytes()<<20/linkShare, log, counts.Saw, owner.Nudge)
 	owner.Serve(link, routers)
 	calls := calling(s, owner, link, counts, log)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	keeper, err := leaseKeeper(ours, int64(seed), log)
+	keeper, err := leaseKeeper(ours, seed, log)
 	if err != nil {
 		return fmt.Errorf("own file %s: %w", cmd.Own, err)
 	}
-	err = composing(ctx, ours, s.Limits.MemoryMB<<20, int64(seed), owner, keeper, counts, log)
+	err = composing(ctx, ours, s.Limits.megabytes()<<20, seed, owner, keeper, counts, log)
 	if err != nil {
 		return err
 	}
@@ -87,7 +81,7 @@
 		}
 		defer kept.close()
 	}
-	exchanging, err := begin(ctx, ours.Peers, owner, kept, int64(seed), counts, log)
+	exchanging, err := begin(ctx, ours.Peers, owner, kept, seed, counts, log)
 	if err != nil {
 		return err
 	}
@@ -106,13 +100,13 @@
 	}()
 	log.Info("serving", "name", s.Name, "listen", s.Listen, "pool", s.Pool, "members", s.Members,
 		"cores", s.Limits.Cores, "memory_mb", s.Limits.MemoryMB, "sockets", s.Limits.Sockets)
-	var stop atomic.Int64 // milliseconds, as stated last
-	stop.Store(s.StopMS)
+	var stop atomic.Int64 // nanoseconds, as stated last
+	stop.Store(int64(s.Stop))
 	// One goroutine each: the notice must not wait until a new configuration has been read, as the stop does not.
 	go func() {
 		for range anew {
 			s = s.again(link, calls, reporter, owner, log)
-			stop.Store(s.StopMS)
+			stop.Store(int64(s.Stop))
 			exchanging.again(log)
 		}
 	}()
@@ -127,7 +121,7 @@
 		ended <- why
 		giveUp()
 		reporter.Leave()
-		owner.Leave(time.Duration(stop.Load()) * time.Millisecond)
+		owner.Leave(time.Duration(stop.Load()))
 	}()
 	owner.Run()
 	counts.Report()
--- /dev/null
+++ b/cmd/quartzpoint/settings_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/standin"
+)
+
+// Valid configurations of every kind are started with, and serve. Some were refused, for a fraction where a whole number
+// was expected; one ended in the runtime, which makes room for as many cores as it is told of.
+func TestValidConfigurations(t *testing.T) {
+	var many []string
+	for i := range 48 {
+		many = append(many, fmt.Sprintf(`{"name":"%s-%d","deadline":9000000,"goal-time":8000000,"gain":1.0,"idempotency":"dedup",
+"dedup-window":%d,"late-value":0.0}`, strings.Repeat("long", 30), i, i))
+	}
+	replace := func(old, new string) func(string) string {
+		return func(text string) string {
+			require.Contains(t, text, old)
+			return strings.Replace(text, old, new, 1)
+		}
+	}
+	cases := map[string]func(string) string{
+		"stop as a fraction":    replace(`"stop_ms":1500`, `"stop_ms":1500.5`),
+		"stop as a float":       replace(`"stop_ms":1500`, `"stop_ms":1.5e3`),
+		"memory as a fraction":  replace(`"memory_mb":96`, `"memory_mb":96.5`),
+		"sockets as a float":    replace(`"sockets":256`, `"sockets":256.0`),
+		"a part of a core":      replace(`"limits":{"cores":1.0`, `"limits":{"cores":0.01`),
+		"endless cores":         replace(`"limits":{"cores":1.0`, `"limits":{"cores":1e18`),
+		"endless memory":        replace(`"memory_mb":96`, `"memory_mb":1e18`),
+		"endless sockets":       replace(`"sockets":256`, `"sockets":1e18`),
+		"endless stop":          replace(`"stop_ms":1500`, `"stop_ms":1e18`),
+		"little memory":         replace(`"memory_mb":96`, `"memory_mb":12`),
+		"no dependency":         replace(`"name":"n1"`, `"name":"n1","index":null,"more":[{}]`),
+		"names for hosts":       replace(`"seed":`, `"index":"calls.invalid:http","seed":`),
+		"no tenants key":        replace(`"tenants":[],`, ``),
+		"tenants without names": replace(`"tenants":[]`, `"tenants":[{"quota-rps":3},{"name":"b","quota-rps":2.5}]`),
+		"spans of nothing": replace(`"warm-up":9000000`,
+			`"warm-up":0,"fall":0,"grace-to-answer":0`),
+		"no grace, no idle time": func(text string) string {
+			text = replace(`"stop-sending-within":400000`, `"stop-sending-within":0`)(text)
+			return replace(`"idle":30000000`, `"idle":0,"heeded":0,"lingers":0,"calls-over":0`)(text)
+		},
+		"no come-back":    replace(`"max-retry-after":1000000`, `"max-retry-after":0`),
+		"no ticks":        replace(`"servers":3`, `"servers":0,"tick":0`),
+		"spans as floats": replace(`"idle":30000000`, `"idle":3e7,"heeded":1000000.0,"calls-over":1e30`),
+		"dozens of types": replace(`"services":[`, `"services":[`+strings.Join(many, ",")+`,`),
+		"one core, no lists": replace(`"calls-by-class":[false,false],
+"class-skip-worth":[0.0,0.0],`, `"calls-by-class":[],"class-skip-worth":null,`),
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := prepare(t, builds["debug"])
+			raw, err := os.ReadFile(p.path)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(p.path, []byte(change(string(raw))), 0o600))
+			out, code := ask(t, nil, "check", p.path)
+			assert.Zero(t, code, out)
+			require.NoError(t, p.cmd.Start())
+			p.endWith(t)
+			p.pool.Ready()
+			p.logged(t, "pool link bound")
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+			p.logged(t, `msg="new configuration"`)
+			router := standin.Dial(t, p.address)
+			router.Send(t, standin.Task(1, "pay", ""))
+			p.pool.Finish(p.pool.Next(t, "spawn").Task, "success", nil)
+			assert.Equal(t, byte(20), router.Next(t).Code)
+			assert.Contains(t, p.log.String(), "only_with_a_restart=[]")
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+			router.Close()
+			assert.Zero(t, p.gone())
+		})
+	}
+}
+
+// The first fault hid others, several were one, and addresses and numbers that can't be were found later or never. All
+// are told at once now, with the file and the key, in the same words at the start, on reload and by check.
+func TestEveryFaultAtOnce(t *testing.T) {
+	cases := []struct {
+		text string
+		says []string
+	}{
+		{`{`, []string{"unexpected end"}},
+		{`[]`, []string{"json: cannot unmarshal array"}},
+		{`{}`, []string{"name is missing", "listen is missing", "pool is missing", "members is missing", "seed is missing",
+			"stop_ms is missing", "limits.cores is missing", "limits.memory_mb is missing", "limits.sockets is missing",
+			"settings is missing"}},
+		{`{"name":7,"listen":"here","pool":"127.0.0.1","members":"127.0.0.1:0","index":"127.0.0.1:66000","seed":"xyz",
+"stop_ms":-1,"limits":{"cores":-0.5,"memory_mb":"much","sockets":0},"settings":{"extra":{"cores":-4,"ram-kb":"NaN"},
+"services":[{"name":"a","idempotency":"dedup","deadline":-1,"goal-time":1}]}}`,
+			[]string{"name: 7 is no text", "listen: ", "pool: ", "members: ", "index: ", "seed: ", "stop_ms: -1 is not above 0",
+				"limits.cores: -0.5 is not above 0", "limits.memory_mb: ", "limits.sockets: 0 is not above 0",
+				"setting extra.cores: -4 is not above 0", "setting extra.ram-kb: ", "setting services.0.deadline: "}},
+		{`{"name":"n1","listen":"127.0.0.1:0","pool":"a b:1","members":":x","seed":"1","stop_ms":1e999,"limits":[],
+"settings":{"services":[{"name":"a"}]}}`,
+			[]string{"pool: ", "members: ", "stop_ms: ", "limits.cores: ", "limits.memory_mb: ", "limits.sockets: ",
+				"setting services.0.idempotency: is missing", "setting services.0.deadline: is missing",
+				"setting services.0.goal-time: is missing"}},
+	}
+	serves := launch(t, "release")
+	began := len(serves.log.String())
+	for i, c := range cases {
+		path := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, os.WriteFile(path, []byte(c.text), 0o600))
+		started, code := ask(t, []string{"EDGE_CONFIG=" + path})
+		assert.Equal(t, 1, code, started)
+		assert.Equal(t, 1, strings.Count(started, "\n"), started)
+		checked, code := ask(t, nil, "check", path)
+		assert.Equal(t, 1, code, checked)
+		for _, words := range c.says {
+			assert.Contains(t, checked, "configuration "+path+": "+words, c.text)
+			assert.Contains(t, started, strings.ReplaceAll(words, `"`, `\"`), c.text)
+		}
+		require.NoError(t, os.WriteFile(serves.path, []byte(c.text), 0o600))
+		require.NoError(t, serves.cmd.Process.Signal(syscall.SIGHUP))
+		require.Eventually(t, func() bool {
+			return strings.Count(serves.log.String(), "refused, the old one stays") == i+1
+		}, standin.Patience, time.Millisecond, c.text)
+	}
+	// There the variables win over the file.
+	assert.NotContains(t, serves.log.String()[began:], "listen")
+	assert.NotContains(t, serves.log.String()[began:], "name: 7")
+	router := standin.Dial(t, serves.address)
+	serves.pool.Ready()
+	router.Send(t, standin.Task(1, "pay", ""))
+	serves.pool.Finish(serves.pool.Next(t, "spawn").Task, "success", nil)
+	assert.Equal(t, byte(20), router.Next(t).Code, "what is in force stays")
+}
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -8,8 +8,11 @@
 	"maps"
 	"net"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
+	"time"
+	"unicode"
 
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/dependency"
@@ -21,65 +24,184 @@
 
 // start is what the program is told at its start.
 type start struct {
-	Name    string `json:"name"`
-	Listen  string `json:"listen"`
-	Pool    string `json:"pool"`
-	Members string `json:"members"`
-	Index   string `json:"index"` // the dependency that runs call, empty where none does
-	Seed    string `json:"seed"`
-	StopMS  int64  `json:"stop_ms"`
-	Limits  struct {
-		Cores    float64 `json:"cores"`
-		MemoryMB int     `json:"memory_mb"`
-		Sockets  int     `json:"sockets"`
-	} `json:"limits"`
-	Terms  json.RawMessage `json:"settings"`
-	agreed map[string]any  // what Terms say
+	Name    string
+	Listen  string
+	Pool    string
+	Members string
+	Index   string // the dependency that runs call, empty where none does
+	Seed    uint64
+	Stop    time.Duration
+	Limits  limits
+	terms   *terms.Terms
+	types   map[string]time.Duration // that a task of each type has
+	agreed  map[string]any           // what the terms say, as asked last
 }
 
-// told reads the configuration and the two variables that repeat a part of it. The error joins all faults.
-func told(path string) (s start, seed uint64, err error) {
+// limits are those of the program itself, as stated. Each may be any number above 0.
+type limits struct{ Cores, MemoryMB, Sockets float64 }
+
+// Larger limits are taken for these, which no machine has: bytes and descriptors still fit their types.
+const (
+	maxMemoryMB = 1 << 24
+	maxSockets  = 1 << 24
+)
+
+// cores are those that the runtime may use. More than there are help nobody, and the runtime keeps room for each.
+func (l limits) cores() int { return int(max(1, min(l.Cores, float64(runtime.NumCPU())))) }
+
+// memory is the limit in bytes.
+func (l limits) memory() int { return int(min(l.MemoryMB, maxMemoryMB) * (1 << 20)) }
+
+// megabytes is the same in whole ones; a part of one is one, as of none nothing could be held.
+func (l limits) megabytes() int { return max(1, l.memory()>>20) }
+
+// sockets is the number of descriptors; with fewer than two there is no room for any connection.
+func (l limits) sockets() int { return int(max(2, min(l.Sockets, maxSockets))) }
+
+// told reads the configuration and the two variables that repeat a part of it, and sees that it could be served with:
+// the one check for the start, for a configuration read anew and for the command. The error joins all faults.
+func told(path string) (s start, err error) {
 	if path == "" {
-		return s, 0, errors.New("EDGE_CONFIG names no configuration; see quartzpoint --help")
+		return s, errors.New("EDGE_CONFIG names no configuration; see quartzpoint --help")
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return s, 0, fmt.Errorf("configuration: %w", err)
+		return s, fmt.Errorf("configuration: %w", err)
+	}
+	c := config{path: path}
+	if err := json.Unmarshal(raw, &c.keys); err != nil {
+		return s, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return s, 0, fmt.Errorf("configuration %s: %w", path, err)
+	s.Name = c.text("name", "EDGE_NAME")
+	s.Listen = c.text("listen", "EDGE_LISTEN")
+	c.address("listen", s.Listen, false)
+	s.Pool = c.text("pool", "")
+	c.address("pool", s.Pool, true)
+	s.Members = c.text("members", "")
+	c.address("members", s.Members, true)
+	if c.states("index") {
+		s.Index = c.text("index", "")
+		c.address("index", s.Index, true)
 	}
-	if name := os.Getenv("EDGE_NAME"); name != "" {
-		s.Name = name
+	if seed := c.text("seed", ""); seed != "" {
+		if s.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			c.fault("seed", "%s is no hexadecimal number of 64 bits", seed)
+		}
 	}
-	if listen := os.Getenv("EDGE_LISTEN"); listen != "" {
-		s.Listen = listen
+	stop := c.positive("stop_ms")
+	s.Stop = time.Duration(min(stop, float64(terms.MaxSpan/time.Millisecond)) * float64(time.Millisecond))
+	s.Limits = limits{c.positive("limits.cores"), c.positive("limits.memory_mb"), c.positive("limits.sockets")}
+	c.settings(&s)
+	return s, errors.Join(c.faults...)
+}
+
+// config is the file's text by key, and what is wrong with it.
+type config struct {
+	path   string
+	keys   map[string]json.RawMessage
+	faults []error
+}
+
+func (c *config) fault(key, words string, of ...any) {
+	c.faults = append(c.faults, fmt.Errorf("configuration %s: %s: %s", c.path, key, fmt.Sprintf(words, of...)))
+}
+
+func (c *config) missing(key, wanted string) {
+	c.faults = append(c.faults, fmt.Errorf("configuration %s: %s is missing: %s", c.path, key, wanted))
+}
+
+// states tells whether the file says anything under a key.
+func (c *config) states(key string) bool {
+	raw, stated := c.keys[key]
+	return stated && string(raw) != "null" && string(raw) != `""`
+}
+
+// text is the text under a key, where no variable wins over it.
+func (c *config) text(key, variable string) (text string) {
+	if variable != "" && os.Getenv(variable) != "" {
+		return os.Getenv(variable)
 	}
-	var faults []error
-	fault := func(words string, of ...any) {
-		faults = append(faults, fmt.Errorf("configuration %s: "+words, append([]any{path}, of...)...))
+	if !c.states(key) {
+		c.missing(key, "a text")
+	} else if json.Unmarshal(c.keys[key], &text) != nil {
+		c.fault(key, "%s is no text", c.keys[key])
 	}
-	for _, needed := range []struct{ key, value string }{
-		{"name", s.Name}, {"listen", s.Listen}, {"pool", s.Pool}, {"members", s.Members},
-		{"settings", string(s.Terms)},
-	} {
-		if needed.value == "" {
-			fault("%s is missing", needed.key)
+	return text
+}
+
+// address sees that a text is a host and a port. Whether anybody is there, or the name known yet, is not asked: that
+// comes and goes, and is waited for.
+func (c *config) address(key, text string, dialed bool) {
+	if text == "" {
+		return // text said so
+	}
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		c.fault(key, "%v", err)
+		return
+	}
+	number, err := net.LookupPort("tcp", port)
+	if err != nil || port == "" || dialed && number == 0 || strings.ContainsFunc(host, unicode.IsSpace) {
+		c.fault(key, "%q is no host:port", text)
+	}
+}
+
+// positive is the number under a key, which may stand within that of an object.
+func (c *config) positive(path string) (number float64) {
+	within, key, nested := strings.Cut(path, ".")
+	of := c
+	if nested {
+		of = &config{}
+		if c.states(within) && json.Unmarshal(c.keys[within], &of.keys) != nil {
+			c.fault(path, "%s is no object", within)
+			return 0
 		}
+	} else {
+		key = path
+	}
+	if !of.states(key) {
+		c.missing(path, "a number above 0")
+	} else if json.Unmarshal(of.keys[key], &number) != nil {
+		c.fault(path, "%s is no number", of.keys[key])
+	} else if number <= 0 {
+		c.fault(path, "%v is not above 0", number)
+	}
+	return number
+}
+
+// settings reads the settings and sees that a server could be made for them.
+func (c *config) settings(s *start) {
+	if !c.states("settings") {
+		c.missing("settings", "an object")
+		return
+	}
+	agreed, err := terms.FromJSON(c.keys["settings"])
+	if err == nil {
+		err = agreed.Lacks()
 	}
-	if s.StopMS <= 0 || s.Limits.Cores <= 0 || s.Limits.MemoryMB <= 0 || s.Limits.Sockets <= 0 {
-		fault("stop_ms and each of limits must be above 0")
+	if err != nil {
+		all := []error{err}
+		if joined, is := err.(interface{ Unwrap() []error }); is {
+			all = joined.Unwrap()
+		}
+		for _, err := range all {
+			c.faults = append(c.faults, fmt.Errorf("configuration %s: %w", c.path, err))
+		}
+		return
 	}
-	if seed, err = strconv.ParseUint(s.Seed, 16, 64); err != nil {
-		fault("seed: %w", err)
+	made, err := server.New(agreed, int64(s.Seed), s.bounds(), nil, slog.New(slog.DiscardHandler))
+	if err != nil {
+		c.faults = append(c.faults, fmt.Errorf("configuration %s: settings: %w", c.path, err))
+		return
 	}
-	return s, seed, errors.Join(faults...)
+	s.terms, s.types = agreed, made.Types()
+	s.agreed = maps.Clone(agreed.Values) // the owner writes its own when settings move
 }
 
 // bounds are those of the program itself.
 func (s start) bounds() server.Limits {
 	return server.Limits{
-		MemoryMB: s.Limits.MemoryMB, Sockets: s.Limits.Sockets - s.callSockets(),
+		MemoryMB: s.Limits.megabytes(), Sockets: max(2, s.Limits.sockets()-s.callSockets()),
 		Numbers: true, Customers: true, Calls: s.Index != "",
 	}
 }
@@ -92,7 +214,7 @@
 	if s.Index == "" {
 		return 0
 	}
-	return max(1, s.Limits.Sockets/callShare)
+	return max(1, s.Limits.sockets()/callShare)
 }
 
 // calling makes the server call the dependency where the configuration names one, and gives what calls it, nil without.
@@ -116,24 +238,11 @@
 func (s start) again(link *pool.Link, calls *dependency.Caller, reporter *membership.Reporter, owner *server.Server,
 	log *slog.Logger,
 ) start {
-	refuse := func(err error) start {
+	n, err := told(os.Getenv("EDGE_CONFIG"))
+	if err != nil {
 		log.Warn("new configuration refused, the old one stays", "error", err)
 		return s
 	}
-	n, seed, err := told(os.Getenv("EDGE_CONFIG"))
-	if err != nil {
-		return refuse(err)
-	}
-	agreed, err := terms.FromJSON(n.Terms)
-	if err != nil {
-		return refuse(fmt.Errorf("configuration: %w", err))
-	}
-	if _, err := server.New(agreed, int64(seed), n.bounds(), nil, log); err != nil {
-		return refuse(err)
-	}
-	if _, err := net.ResolveTCPAddr("tcp", n.Pool); err != nil {
-		return refuse(fmt.Errorf("configuration: pool: %w", err))
-	}
 	if n.Members != s.Members {
 		reporter.Move(n.Members)
 	}
@@ -145,7 +254,7 @@
 		index = n.Index
 		calls.Move(index)
 	}
-	moved, settings := terms.Moves(s.agreed, agreed.Values)
+	moved, settings := terms.Moves(s.agreed, n.agreed)
 	var fixed []string
 	for _, key := range []struct {
 		name   string
@@ -164,8 +273,8 @@
 		maps.DeleteFunc(s.agreed, func(_ string, v any) bool { return v == nil })
 		owner.Post(func() { owner.Retune(moved) })
 	}
-	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "index", index, "stop_ms", n.StopMS, "moved", moved,
+	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "index", index, "stop_ms", n.Stop.Milliseconds(), "moved", moved,
 		"only_with_a_restart", fixed)
-	s.Pool, s.Members, s.Index, s.StopMS = n.Pool, n.Members, index, n.StopMS
+	s.Pool, s.Members, s.Index, s.Stop = n.Pool, n.Members, index, n.Stop
 	return s
 }
--- a/internal/terms/moving.go
+++ b/internal/terms/moving.go
@@ -1,7 +1,6 @@
 package terms
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 )
@@ -14,16 +13,6 @@
 	"advert": {"none", "threshold", "window", "share_of"},
 }
 
-// check sees that each moving setting that is stated has a value that the module knows.
-func (t *Terms) check() error {
-	for _, name := range slices.Sorted(maps.Keys(moving)) {
-		if v, stated := t.Values[name]; stated && !slices.Contains(moving[name], fmt.Sprint(v)) {
-			return fmt.Errorf("setting %s: %v is none of %v", name, v, moving[name])
-		}
-	}
-	return nil
-}
-
 // Moves parts what differs between two sets of settings: the moving ones, with the values that hold from now on
 // (nil for one no longer stated, which is then as at a start without it), and the names of all others, sorted.
 func Moves(was, is map[string]any) (moved map[string]any, fixed []string) {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -5,8 +5,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,75 +27,76 @@
 )
 
 type word struct {
-	ours string
-	kind kind
+	ours  string
+	kind  kind
+	holds bounds
 }
 
 // plain holds the settings that stand alone, by the wire's name.
 var plain = map[string]word{
-	"extra.cores":                     {"cores", number},
-	"extra.ram-kb":                    {"memory-kb", number},
-	"extra.run-factor":                {"running-factor", number},
-	"extra.key-kb":                    {"number-kb", number},
-	"extra.cold":                      {"cold", flag},
-	"extra.advert":                    {"advert", text},
-	"extra.halt":                      {"halt", text},
-	"extra.below":                     {"below", text},
-	"extra.calls-out":                 {"calls-share", number},
-	"extra.calls-over":                {"calls-over", span},
-	"extra.lingers":                   {"calls-linger", span},
-	"extra.heeded":                    {"heeded", span},
-	"extra.idle":                      {"idle", span},
-	"extra.upstreams":                 {"routers", number},
-	"extra.tells-gone":                {"tells-gone", flag},
-	"extra.passes-deadline":           {"tells-due", flag},
-	"extra.deep-checks":               {"deep-checks", flag},
-	"extra.readiness":                 {"list-follows-health", flag},
-	"limits.retry-after":              {"come-back", flag},
-	"limits.max-retry-after":          {"come-back-most", span},
-	"obligations.cold-share":          {"cold-share", number},
-	"obligations.warm-up":             {"warm-up", span},
-	"obligations.fall":                {"crowd-over", span},
-	"obligations.overload-factor":     {"crowd", number},
-	"obligations.stop-sending-within": {"grace", span},
-	"obligations.grace-to-answer":     {"answer-slack", span},
-	"over-share-worth":                {"over-share", number},
-	"value-by":                        {"importance-by", text},
-	"servers":                         {"servers", number},
-	"tick":                            {"tick", span},
-	"scoring-mix.whole":               {"weight-whole", number},
-	"scoring-mix.worst-window":        {"weight-window", number},
-	"scoring-mix.worst-class":         {"weight-type", number},
-	"scoring-mix.worst-tenant":        {"weight-customer", number},
-	"prices.waste":                    {"price-waste", number},
-	"prices.late-fail":                {"price-late", number},
-	"prices.handshake":                {"price-connection", number},
-	"services.count":                  {"types", number},
-	"tenants.count":                   {"customers", number},
+	"extra.cores":                     {"cores", number, aboveZero},
+	"extra.ram-kb":                    {"memory-kb", number, aboveZero},
+	"extra.run-factor":                {"running-factor", number, notNegative},
+	"extra.key-kb":                    {"number-kb", number, notNegative},
+	"extra.cold":                      {"cold", flag, anything},
+	"extra.advert":                    {"advert", text, anything},
+	"extra.halt":                      {"halt", text, anything},
+	"extra.below":                     {"below", text, anything},
+	"extra.calls-out":                 {"calls-share", number, notNegative},
+	"extra.calls-over":                {"calls-over", span, notNegative},
+	"extra.lingers":                   {"calls-linger", span, notNegative},
+	"extra.heeded":                    {"heeded", span, notNegative},
+	"extra.idle":                      {"idle", span, notNegative},
+	"extra.upstreams":                 {"routers", number, notNegative},
+	"extra.tells-gone":                {"tells-gone", flag, anything},
+	"extra.passes-deadline":           {"tells-due", flag, anything},
+	"extra.deep-checks":               {"deep-checks", flag, anything},
+	"extra.readiness":                 {"list-follows-health", flag, anything},
+	"limits.retry-after":              {"come-back", flag, anything},
+	"limits.max-retry-after":          {"come-back-most", span, notNegative},
+	"obligations.cold-share":          {"cold-share", number, share},
+	"obligations.warm-up":             {"warm-up", span, notNegative},
+	"obligations.fall":                {"crowd-over", span, notNegative},
+	"obligations.overload-factor":     {"crowd", number, aboveZero},
+	"obligations.stop-sending-within": {"grace", span, notNegative},
+	"obligations.grace-to-answer":     {"answer-slack", span, notNegative},
+	"over-share-worth":                {"over-share", number, share},
+	"value-by":                        {"importance-by", text, anything},
+	"servers":                         {"servers", number, notNegative},
+	"tick":                            {"tick", span, notNegative},
+	"scoring-mix.whole":               {"weight-whole", number, notNegative},
+	"scoring-mix.worst-window":        {"weight-window", number, notNegative},
+	"scoring-mix.worst-class":         {"weight-type", number, notNegative},
+	"scoring-mix.worst-tenant":        {"weight-customer", number, notNegative},
+	"prices.waste":                    {"price-waste", number, anything},
+	"prices.late-fail":                {"price-late", number, anything},
+	"prices.handshake":                {"price-connection", number, anything},
+	"services.count":                  {"types", number, anything},
+	"tenants.count":                   {"customers", number, anything},
 }
 
 // listed holds the settings of list items: list, the wire's name, then ours; the position goes in between.
 var listed = map[string]map[string]word{
 	"services": {
-		"gain":         {"importance", number},
-		"late-value":   {"late-share", number},
-		"goal-time":    {"contract-time", span},
-		"deadline":     {"outer-limit", span},
-		"dedup-window": {"window", span},
-		"idempotency":  {"repeats", text},
-		"name":         {"name", text},
+		"gain":         {"importance", number, notNegative},
+		"late-value":   {"late-share", number, share},
+		"goal-time":    {"contract-time", span, notNegative},
+		"deadline":     {"outer-limit", span, aboveZero},
+		"dedup-window": {"window", span, notNegative},
+		"idempotency":  {"repeats", text, anything},
+		"name":         {"name", text, anything},
 	},
 	"tenants": {
-		"quota-rps": {"rate", number},
-		"fraction":  {"share", number},
-		"name":      {"name", text},
+		"quota-rps": {"rate", number, notNegative},
+		"fraction":  {"share", number, share},
+		"name":      {"name", text, anything},
 	},
 }
 
 // rows holds the settings that carry one value for each traffic type, parted by commas.
 var rows = map[string]word{
-	"extra.calls-by-class":   {"calls", flag},
-	"extra.class-skip-worth": {"skip-share", number},
+	"extra.calls-by-class":   {"calls", flag, anything},
+	"extra.class-skip-worth": {"skip-share", number, share},
 }
 
 var lists = map[string]string{"services": "type", "tenants": "customer"}
@@ -111,20 +115,19 @@
 
 // FromLines reads the flat form: a line for each setting, its path and its value parted by "=".
 func FromLines(info string) (*Terms, error) {
-	t := &Terms{Values: map[string]any{}}
+	r := reader{terms: &Terms{Values: map[string]any{}}}
 	for line := range strings.SplitSeq(info, "\n") {
-		name, value, found := strings.Cut(strings.TrimSpace(line), "=")
-		if !found {
-			continue
-		}
-		if err := t.take(name, value); err != nil {
-			return nil, err
+		if name, value, found := strings.Cut(strings.TrimSpace(line), "="); found {
+			r.take(name, value)
 		}
 	}
-	return t, nil
+	if len(r.faults) > 0 {
+		return nil, errors.Join(r.faults...)
+	}
+	return r.terms, nil
 }
 
-// FromJSON reads the nested form.
+// FromJSON reads the nested form. The error joins all faults: what can't be read, and what is out of range.
 func FromJSON(raw []byte) (*Terms, error) {
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber() // a span of microseconds stays the whole number it was written as
@@ -135,76 +138,99 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return nil, fmt.Errorf("settings: more than one JSON value")
 	}
-	t := &Terms{Values: map[string]any{}}
-	if err := t.walk("", tree); err != nil {
-		return nil, err
+	r := reader{terms: &Terms{Values: map[string]any{}}, strict: true}
+	r.walk("", tree)
+	if len(r.faults) > 0 {
+		return nil, errors.Join(r.faults...)
 	}
-	return t, t.check()
+	return r.terms, nil
+}
+
+// reader files settings and keeps what is wrong with them.
+type reader struct {
+	terms  *Terms
+	strict bool // a value out of range is a fault. The simulator's own lines are taken as they come
+	faults []error
+}
+
+func (r *reader) fault(name, words string, of ...any) {
+	r.faults = append(r.faults, fmt.Errorf("setting %s: %s", name, fmt.Sprintf(words, of...)))
 }
 
 // walk goes down the nested form and takes each value by the path that it has in the flat form.
-func (t *Terms) walk(path string, node any) error {
+func (r *reader) walk(path string, node any) {
 	at := func(name string) string {
 		if path == "" {
 			return name
 		}
 		return path + "." + name
 	}
+	_, list := lists[path]
 	switch v := node.(type) {
 	case map[string]any:
-		for name, below := range v { // each path stands once, so the order decides nothing
-			if err := t.walk(at(name), below); err != nil {
-				return err
-			}
+		if list { // its count would be whatever stands there
+			r.fault(path, "is no list")
+			return
+		}
+		for _, name := range slices.Sorted(maps.Keys(v)) { // in one order, so that faults come in one
+			r.walk(at(name), v[name])
 		}
-		return nil
 	case []any:
 		plain := make([]string, 0, len(v))
 		for i, item := range v {
-			if _, object := item.(map[string]any); !object {
+			switch item.(type) {
+			case map[string]any:
+				r.walk(at(strconv.Itoa(i)), item)
+			case nil:
+				plain = append(plain, "") // its place counts, and it states nothing
+			default:
 				plain = append(plain, fmt.Sprint(item))
-				continue
-			}
-			if err := t.walk(at(strconv.Itoa(i)), item); err != nil {
-				return err
 			}
 		}
 		if len(v) > 0 && len(plain) == 0 {
-			return t.take(at("count"), strconv.Itoa(len(v)))
+			r.take(at("count"), strconv.Itoa(len(v)))
+			return
+		}
+		if list && len(v) > 0 {
+			r.fault(path, "holds what is no object")
+			return
 		}
-		return t.take(path, strings.Join(plain, ","))
+		r.take(path, strings.Join(plain, ","))
 	case nil:
-		return nil
 	default:
-		return t.take(path, fmt.Sprint(v))
+		if path == "" || list {
+			r.fault(path, "%v is no %s", v, map[bool]string{true: "list", false: "object"}[list])
+			return
+		}
+		r.take(path, fmt.Sprint(v))
 	}
 }
 
 // take files one setting. Those the tables don't know are passed over.
-func (t *Terms) take(name, value string) error {
+func (r *reader) take(name, value string) {
 	if name == "extra.gauges" {
-		t.gauges = strings.Split(value, ",")
-		return nil
+		r.terms.gauges = strings.Split(value, ",")
+		return
 	}
 	if w, known := plain[name]; known {
-		return put(t.Values, w.ours, w.kind, name, value)
+		r.put(w, w.ours, name, value)
+		return
 	}
 	if w, known := rows[name]; known && value != "" {
 		for i, item := range strings.Split(value, ",") {
-			if err := put(t.Values, fmt.Sprintf("type.%d.%s", i, w.ours), w.kind, name, item); err != nil {
-				return err
+			if item != "" {
+				r.put(w, fmt.Sprintf("type.%d.%s", i, w.ours), name, item)
 			}
 		}
-		return nil
+		return
 	}
 	parts := strings.SplitN(name, ".", 3)
 	if len(parts) != 3 {
-		return nil
+		return
 	}
 	if w, known := listed[parts[0]][parts[2]]; known {
-		return put(t.Values, lists[parts[0]]+"."+parts[1]+"."+w.ours, w.kind, name, value)
+		r.put(w, lists[parts[0]]+"."+parts[1]+"."+w.ours, name, value)
 	}
-	return nil
 }
 
 // Gauges puts readings, in the order that the settings name, under our names. Where fewer come than were
@@ -224,31 +250,50 @@
 	}
 }
 
-func put(terms map[string]any, ours string, k kind, name, value string) error {
-	switch k {
+// put files a value under our name for it.
+func (r *reader) put(w word, ours, name, value string) {
+	var plain float64 // the value as a number
+	var filed any
+	switch w.kind {
 	case number:
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil {
-			return fmt.Errorf("setting %s: %w", name, err)
+			r.fault(name, "%s is no number", value)
+			return
 		}
-		terms[ours] = v
+		plain, filed = v, v
 	case span:
-		v, err := strconv.ParseInt(value, 10, 64)
-		if err != nil {
-			return fmt.Errorf("setting %s: %w", name, err)
+		v, took := microseconds(value)
+		if !took {
+			r.fault(name, "%s is no whole number of microseconds", value)
+			return
+		}
+		plain, filed = v, spanOf(v)
+		if w.ours == "contract-time" {
+			filed = max(spanOf(v), time.Microsecond) // decisions look at parts of it, and there is none of nothing
 		}
-		terms[ours] = time.Duration(v) * time.Microsecond
 	case flag:
 		v, err := strconv.ParseBool(value)
 		if err != nil {
-			return fmt.Errorf("setting %s: %w", name, err)
+			r.fault(name, "%s is neither true nor false", value)
+			return
 		}
-		terms[ours] = v
+		filed = v
 	case text:
-		if ours, known := repeats[value]; known {
-			value = ours
+		filed = value
+		if theirs, known := words[w.ours]; known && r.strict && !slices.Contains(theirs, value) {
+			r.fault(name, "%s is none of %v", value, theirs)
+			return
+		}
+		if w.ours == "repeats" { // and nothing else: a type may well be named like one of them
+			if known, is := repeats[value]; is {
+				filed = known
+			}
 		}
-		terms[ours] = value
 	}
-	return nil
+	if why := w.holds.broken(plain); why != "" && r.strict {
+		r.fault(name, "%s is %s", value, why)
+		return
+	}
+	r.terms.Values[ours] = filed
 }
