Customers behind one without a name keep their places

Cause: server.New read names up to the first customer without one ("break"), so all behind it were nobody: no share, and none taken. The settings may well leave a name out.

Change: as many are read as are stated.

Test: TestCustomersWithoutNames failed on the old code: expected 1, actual (nobody).

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -156,15 +156,14 @@
 	if len(s.types) == 0 {
 		return nil, fmt.Errorf("the settings name no traffic type")
 	}
-	if customers, _ := told.Values["customers"].(float64); customers > 0 && !limits.Customers {
+	customers, _ := told.Values["customers"].(float64)
+	if customers > 0 && !limits.Customers {
 		return nil, fmt.Errorf("the settings name customers, whom this program can't tell apart yet")
 	}
-	for i := 0; ; i++ {
-		name, stated := told.Values[fmt.Sprintf("customer.%d.name", i)].(string)
-		if !stated {
-			break
+	for i := range int(customers) { // one without a name leaves the others theirs
+		if name, stated := told.Values[fmt.Sprintf("customer.%d.name", i)].(string); stated {
+			s.customers[name] = i
 		}
-		s.customers[name] = i
 	}
 	values := maps.Clone(told.Values)
 	if !limits.Calls {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -461,3 +462,11 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// One customer without a name cost all behind it theirs, and with it their share.
+func TestCustomersWithoutNames(t *testing.T) {
+	site := strings.Replace(standin.Site, `"tenants":[]`, `"tenants":[{"quota-rps":1},{"name":"b","quota-rps":2},{}]`, 1)
+	b := newBenchWith(t, site, Limits{MemoryMB: 96, Sockets: 256, Customers: true}, nil)
+	assert.Equal(t, 1, b.Customer("b"))
+	assert.Equal(t, math.MaxInt, b.Customer(""))
+}
