Tests: configurations in a row, replaced while read, in the drain; keys that need a restart

TestConfigurationsInARow passes on the old code and rules the lead out: 20 signals, each file replaced while it may be read, a run in hand at each, then the drain with whole, torn and missing files; no exit, no refusal of a whole file, no task lost. TestKeysThatNeedARestart names all keys at once and takes the rest over; on the old code it fails, as a stop_ms of 700.5 was refused there.

--- /dev/null
+++ b/cmd/quartzpoint/reload_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/standin"
+)
+
+// Signals in a row, each with a file that another takes the place of while it is read, at work and during the drain:
+// none ends the process, none costs a task, and the last file is in force.
+func TestConfigurationsInARow(t *testing.T) {
+	for build := range builds {
+		t.Run(build, func(t *testing.T) {
+			p := launch(t, build)
+			p.pool.Ready()
+			p.logged(t, "pool link bound")
+			router := standin.Dial(t, p.address)
+			raw, err := os.ReadFile(p.path)
+			require.NoError(t, err)
+			texts := []string{string(raw), strings.Replace(string(raw), `"halt":"suspend"`, `"halt":"none"`, 1)}
+			put := func(text string) { // whole: who reads sees one file or the other
+				require.NoError(t, os.WriteFile(p.path+".new", []byte(text), 0o600))
+				require.NoError(t, os.Rename(p.path+".new", p.path))
+			}
+			hup := func() { require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP)) }
+			done := map[uint32]byte{}
+			work := func(stream uint32) {
+				router.Send(t, standin.Task(stream, "pay", ""))
+				run := p.pool.Next(t, "spawn")
+				put(texts[stream%2])
+				hup()
+				put(texts[(stream+1)%2]) // while the other may be read
+				p.pool.Finish(run.Task, "success", nil)
+				reply := router.Next(t)
+				done[reply.Stream] = reply.Code
+			}
+			for stream := range uint32(20) {
+				work(stream + 1)
+			}
+			assert.NotContains(t, p.log.String(), "refused, the old one stays")
+			put(strings.Replace(texts[1], `"stop_ms":1500`, `"stop_ms":2500`, 1))
+			hup()
+			p.logged(t, "stop_ms=2500")
+			p.logged(t, "setting=halt value=none")
+
+			// The drain, with a run in hand; what is written in place may be read half.
+			router.Send(t, standin.Task(21, "pay", ""))
+			last := p.pool.Next(t, "spawn")
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+			p.logged(t, "notice to leave")
+			for i := range 20 {
+				require.NoError(t, os.WriteFile(p.path, []byte(texts[i%2][:len(texts[i%2])-i%3]), 0o600))
+				hup()
+			}
+			require.NoError(t, os.Remove(p.path))
+			hup()
+			p.logged(t, "no such file")
+			p.pool.Finish(last.Task, "success", nil)
+			for stream, codes := range answers(t, router) {
+				require.Len(t, codes, 1)
+				done[stream] = codes[0]
+			}
+			assert.Len(t, done, 21)
+			for stream, code := range done {
+				assert.Equal(t, byte(20), code, stream)
+			}
+			assert.Zero(t, p.gone())
+			assert.NotContains(t, p.log.String(), "check failed")
+		})
+	}
+}
+
+// A new configuration with what needs a restart, all of it at once, names each and takes over the rest.
+func TestKeysThatNeedARestart(t *testing.T) {
+	p := launch(t, "release")
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+	raw, err := os.ReadFile(p.path)
+	require.NoError(t, err)
+	text := strings.NewReplacer(`"cores":1.0`, `"cores":0.5`, `"cores":4`, `"cores":5`, `"stop_ms":1500`, `"stop_ms":700.5`,
+		`"seed":"1f"`, `"seed":"2e","index":"127.0.0.1:1"`, `"name":"pay"`, `"name":"paid"`,
+		`"tenants":[]`, `"tenants":[{"name":"a","quota-rps":5}]`).Replace(string(raw))
+	require.NoError(t, os.WriteFile(p.path, []byte(text), 0o600))
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+	p.logged(t, "stop_ms=700")
+	p.logged(t, `only_with_a_restart="[limits index settings cores,customer.0.name,customer.0.rate,customers,type.1.name]"`)
+	router := standin.Dial(t, p.address)
+	router.Send(t, standin.Task(1, "pay", "")) // as the process was started
+	p.pool.Finish(p.pool.Next(t, "spawn").Task, "success", nil)
+	assert.Equal(t, byte(20), router.Next(t).Code)
+	router.Close()
+	began := time.Now()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	p.logged(t, "stop_in=700.5ms")
+	assert.Zero(t, p.gone())
+	assert.Less(t, time.Since(began), standin.Patience)
+}
