--- a/cmd/quartzpoint/settings_test.go
+++ b/cmd/quartzpoint/settings_test.go
@@ -136,3 +136,38 @@
 	serves.pool.Finish(serves.pool.Next(t, "spawn").Task, "success", nil)
 	assert.Equal(t, byte(20), router.Next(t).Code, "what is in force stays")
 }
+
+// Every number that may be 0 is: a timer of no length, or a round that brings the next, would keep a thread busy.
+func TestSettingsOfNothingKeepNoThreadBusy(t *testing.T) {
+	const settings = `{"extra":{"advert":"threshold","below":"shared","calls-by-class":[true],"cold":true,"cores":1,"gauges":[],
+"halt":"none","idle":0,"heeded":0,"lingers":0,"calls-over":0,"calls-out":0,"ram-kb":60000,"run-factor":0,"key-kb":0},
+"limits":{"max-retry-after":0,"retry-after":true},"obligations":{"cold-share":0,"overload-factor":0.1,"fall":0,
+"stop-sending-within":0,"warm-up":0,"grace-to-answer":0},"servers":0,"tick":0,"over-share-worth":0,"services":[{"name":"a",
+"deadline":1,"goal-time":0,"idempotency":"dedup","dedup-window":0,"gain":0,"late-value":0}],"tenants":[{"quota-rps":0}]}`
+	for _, nowhere := range []bool{false, true} {
+		t.Run(fmt.Sprintf("nobody there: %t", nowhere), func(t *testing.T) {
+			p := prepare(t, builds["debug"])
+			pool := p.pool.Address
+			if nowhere {
+				pool = "127.0.0.1:1"
+			}
+			standin.RewriteWith(t, p.path, p.address, pool, p.members.Address, "127.0.0.1:1", settings)
+			began := time.Now()
+			require.NoError(t, p.cmd.Start())
+			p.endWith(t)
+			p.pool.Ready()
+			p.logged(t, "msg=serving")
+			router := standin.Dial(t, p.address)
+			router.Send(t, standin.Task(1, "a", "")) // late as it comes
+			assert.Equal(t, byte(50), router.Next(t).Code)
+			for range 9 { // two seconds of them
+				p.members.Next(t)
+			}
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+			router.Close()
+			assert.Zero(t, p.gone())
+			used := p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+			assert.Less(t, used, time.Since(began)/2)
+		})
+	}
+}
--- a/cmd/quartzpoint/standstill_test.go
+++ b/cmd/quartzpoint/standstill_test.go
@@ -41,3 +41,42 @@
 		})
 	}
 }
+
+// A stop that leaves no time: what runs and what is held is answered all the same, in the round of the notice.
+func TestStopAtOnce(t *testing.T) {
+	for build, path := range builds {
+		for _, stop := range []string{"1e-9", "1", "16"} {
+			t.Run(build+" "+stop, func(t *testing.T) {
+				p := prepare(t, path)
+				raw, err := os.ReadFile(p.path)
+				require.NoError(t, err)
+				short := strings.Replace(string(raw), `"stop_ms":1500`, `"stop_ms":`+stop, 1)
+				require.NoError(t, os.WriteFile(p.path, []byte(short), 0o600))
+				require.NoError(t, p.cmd.Start())
+				p.endWith(t)
+				p.pool.Ready()
+				p.logged(t, "pool link bound")
+				router := standin.Dial(t, p.address)
+				const all = 20 // more than run at once
+				for stream := range uint32(all) {
+					router.Send(t, standin.Task(stream+1, "pay", ""))
+				}
+				router.Send(t, standin.Frame(20, 99, "", "e2e", "0"))
+				times := map[uint32]int{}
+				for reply := router.Next(t); reply.Type != 21; reply = router.Next(t) {
+					times[reply.Stream]++ // some are turned away at once
+				}
+				// Read in order, so all before the check have been read.
+				require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+				for stream, codes := range answers(t, router) {
+					times[stream] += len(codes)
+				}
+				assert.Len(t, times, all)
+				for stream, n := range times {
+					assert.Equal(t, 1, n, stream)
+				}
+				assert.Zero(t, p.gone())
+			})
+		}
+	}
+}
