Descriptors that run out neither spin the poller nor shut routers out

Cause: netpoll's accept (netpoll_server.go, server.OnRead) answers EMFILE by taking the listener from its poller, by FDOperator.Control(PollDetach), and asking again in growing spans up to 1 s. "detached" in the operator is never set back, so the second time the listener stays with the poller, which asks without rest and starts a goroutine and writes two lines at each try. Nor did anybody make room: idle connections of the table stayed.

Change: poller.Accept keeps such errors from netpoll, rests 5 ms, and has the owner told; the front closes the connection that is needed least, one at a time. The listener for peers goes the same way. The counters "connection waits, descriptors ran out" and "peer waits, ..." tell of it.

Tests, both seen to fail on the old code: TestDescriptorsRunOutAgain (front; an idle connection stays open for 20 s), TestDescriptorsRunOut (real binary, limit lowered to 40 under it; "0.74 is not less than 0.25: it spins", and no new router served within 20 s).

--- /dev/null
+++ b/cmd/quartzpoint/descriptors_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"quartzpoint/internal/rig"
+	"quartzpoint/internal/standin"
+)
+
+// launchWithin starts a process that the system lets have as many descriptors as its configuration states.
+func launchWithin(t *testing.T, sockets int) *program {
+	p := prepare(t, "/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, builds["release"]))
+	text, err := os.ReadFile(p.path)
+	require.NoError(t, err)
+	stated := strings.Replace(string(text), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
+	require.NoError(t, os.WriteFile(p.path, []byte(stated), 0o600))
+	require.NoError(t, p.cmd.Start())
+	p.endWith(t)
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+	return p
+}
+
+// descriptors is how many the process has open.
+func (p *program) descriptors(t *testing.T) int {
+	t.Helper()
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	return len(all)
+}
+
+// stat is a number of the process's own line in /proc, counted as in proc(5).
+func (p *program) stat(t *testing.T, at int) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	_, behind, _ := strings.Cut(string(text), ") ")
+	value, err := strconv.Atoi(strings.Fields(behind)[at-3])
+	require.NoError(t, err)
+	return value
+}
+
+// worked is the time on a core that the process took so far; /proc counts in hundredths of a second.
+func (p *program) worked(t *testing.T) time.Duration {
+	t.Helper()
+	return time.Duration(p.stat(t, 14)+p.stat(t, 15)) * 10 * time.Millisecond
+}
+
+// idles sees that the process takes next to no time on a core in a second in which nothing happens.
+func (p *program) idles(t *testing.T) {
+	t.Helper()
+	began, busy := time.Now(), p.worked(t)
+	time.Sleep(time.Second) // what is measured is the time that this takes
+	share := float64(p.worked(t)-busy) / float64(time.Since(began))
+	assert.Less(t, share, 0.25, "it spins")
+	t.Logf("%d descriptors, %d threads, %.2f of a core", p.descriptors(t), p.stat(t, 20), share)
+}
+
+// honoured waits until a new connection has a task run, as nothing is left of what filled the table.
+func (p *program) honoured(t *testing.T, stream uint32) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		stream++
+		router, err := net.Dial("tcp", p.address)
+		if err != nil {
+			return false
+		}
+		defer router.Close()
+		_ = router.SetDeadline(time.Now().Add(standin.Patience))
+		if _, err := router.Write(standin.Task(stream, "pay", "")); err != nil {
+			return false
+		}
+		reply, err := rig.ReadReply(router)
+		return err == nil && reply.Code == 20
+	}, standin.Patience, 20*time.Millisecond)
+}
+
+// flood makes connections all at once, so that more come than there are turns to book them, and gives their ends.
+func (p *program) flood(connections int, say func(router net.Conn, i uint32)) (end func()) {
+	var mu sync.Mutex
+	var routers []net.Conn
+	var over sync.WaitGroup
+	for i := range connections {
+		over.Add(1)
+		go func() {
+			defer over.Done()
+			router, err := net.Dial("tcp", p.address)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			routers = append(routers, router)
+			mu.Unlock()
+			_ = router.SetDeadline(time.Now().Add(standin.Patience))
+			say(router, uint32(i))
+		}()
+	}
+	over.Wait()
+	return func() {
+		for _, router := range routers {
+			router.Close()
+		}
+	}
+}
+
+// What connections of routers do in a full table.
+func asksOnce(router net.Conn, i uint32) {
+	if _, err := router.Write(standin.Frame(20, 1000+i, "", "e2e", "0")); err == nil {
+		_, _ = rig.ReadReply(router) // answered, or closed to make room
+	}
+}
+
+// Descriptors run out though the table is not full, as where others take them: idle connections make
+// room, and it neither spins nor writes line after line, however often it happens.
+func TestDescriptorsRunOut(t *testing.T) {
+	p := launchWithin(t, 256)
+	p.pool.SetEcho()
+	fewer := unix.Rlimit{Cur: 40, Max: 40}
+	require.NoError(t, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &fewer, nil))
+	before := p.descriptors(t)
+	for i := range uint32(3) {
+		end := p.flood(100, asksOnce)
+		p.idles(t)
+		if i > 0 {
+			p.honoured(t, 10+200*i)
+		}
+		end()
+		require.Eventually(t, func() bool { return p.descriptors(t) <= before }, standin.Patience, time.Millisecond)
+		p.honoured(t, 100+200*i)
+	}
+	assert.Less(t, strings.Count(p.log.String(), "\n"), 100, "a line for each try")
+}
--- a/internal/exchange/giver.go
+++ b/internal/exchange/giver.go
@@ -63,7 +63,7 @@
 		return nil, fmt.Errorf("listen for peers at %s: %w", address, err)
 	}
 	g := &Giver{
-		counts: counts, now: now, listener: listener,
+		counts: counts, now: now, listener: &patient{listener, counts},
 		woken: make(chan struct{}, 1), quit: make(chan struct{}), giving: knowledge.NewGiving(now()),
 	}
 	g.keys.Store(&keys)
@@ -74,6 +74,16 @@
 	return g, nil
 }
 
+// patient is a listener that outlasts a lack of descriptors: those who ask wait in it.
+type patient struct {
+	netpoll.Listener
+	counts *check.Counts
+}
+
+func (p *patient) Accept() (net.Conn, error) {
+	return poller.Accept(p.Listener, func() { p.counts.Saw("peer waits, descriptors ran out") })
+}
+
 // Voter takes a proven ballot and hands it over; answer may be called once, from any goroutine, with what goes
 // back. The giver decides nothing of it.
 type Voter func(ballot []byte, answer func([]byte))
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -240,3 +242,46 @@
 	}, standin.Patience, time.Millisecond)
 	b.inTurn(func() { assert.True(t, b.Quiet()) })
 }
+
+// scarce has no descriptors for connections while it is told so.
+type scarce struct {
+	netpoll.Listener
+	short atomic.Bool
+	tries atomic.Int64
+}
+
+func (s *scarce) Accept() (net.Conn, error) {
+	s.tries.Add(1)
+	if s.short.Load() {
+		return nil, syscall.EMFILE
+	}
+	return s.Listener.Accept()
+}
+
+// From the second time on that descriptors ran out, netpoll asked for connections without rest. One idle connection
+// after the other makes room, those in use stay, and what waits in the listener is taken when there is room again.
+func TestDescriptorsRunOutAgain(t *testing.T) {
+	held := &scarce{}
+	b := newBenchAt(t, usual(), standin.Site, func(l netpoll.Listener) netpoll.Listener {
+		held.Listener = l
+		return held
+	})
+	busy := b.speaker(t)
+	busy.Send(t, standin.Task(2, "pay", ""))
+	b.pool.Next(t, "spawn")
+	for range 3 {
+		idle := b.speaker(t)
+		held.short.Store(true)
+		waits := standin.Dial(t, b.Address())
+		waits.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+		idle.Closed(t)
+		first := held.tries.Load()
+		time.Sleep(200 * time.Millisecond) // in which it may try so many times and no more
+		assert.LessOrEqual(t, held.tries.Load()-first, int64(100))
+		held.short.Store(false)
+		assert.Equal(t, byte(21), waits.Next(t).Type)
+		waits.Close()
+	}
+	b.pool.Finish(standin.Call(2), "success", []byte("kept"))
+	assert.Equal(t, "kept", busy.Next(t).Body)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,8 +51,9 @@
 	shut    bool // the listener was told to take no more connections
 	open    bool // and does so all the same
 	taken   atomic.Int64
-	joins   int64 // of those taken, how many had their first turn
-	tells   bool  // routers say when nobody waits any longer
+	joins   int64       // of those taken, how many had their first turn
+	making  atomic.Bool // room, in a turn that is to come
+	tells   bool        // routers say when nobody waits any longer
 }
 
 // Listen takes the address for a front; connections come once it serves.
@@ -70,7 +71,7 @@
 		ahead: limits.MemoryMB << 20 / aheadShare,
 		tells: s.TellsGone(),
 	}
-	f.listener = &counted{listener, &f.taken}
+	f.listener = &counted{listener, f}
 	f.loop, err = netpoll.NewEventLoop(read, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
@@ -81,20 +82,35 @@
 // counted is a listener that counts the connections taken from it.
 type counted struct {
 	netpoll.Listener
-	taken *atomic.Int64
+	front *Front
 }
 
 // Accept counts a connection before it takes it, so that one is always seen: in the listener, or as taken and without
 // its turn.
 func (c *counted) Accept() (net.Conn, error) {
-	c.taken.Add(1)
-	link, err := c.Listener.Accept()
+	c.front.taken.Add(1)
+	link, err := poller.Accept(c.Listener, c.front.short)
 	if link == nil || err != nil {
-		c.taken.Add(-1)
+		c.front.taken.Add(-1)
 	}
 	return link, err
 }
 
+// short has room made where descriptors ran out though the table has some left, as others took them. It is called on
+// the poller, and again for as long as a connection waits in the listener.
+func (f *Front) short() {
+	f.counts.Saw("connection waits, descriptors ran out")
+	if f.making.CompareAndSwap(false, true) {
+		f.server.Post(func() {
+			f.making.Store(false)
+			if least := f.leastNeeded(nil, true); least != nil {
+				f.counts.Saw("connection closed to make room")
+				least.close()
+			}
+		})
+	}
+}
+
 // Serve takes connections until the front is retired.
 func (f *Front) Serve() error {
 	if err := f.loop.Serve(f.listener); err != nil && !f.closing.Load() {
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -4,13 +4,20 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"strings"
+	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
+// shortWait is how long the poller rests where there is no descriptor for a connection that waits in a listener.
+const shortWait = 5 * time.Millisecond
+
 // Owner takes what netpoll has to tell and runs it in its own turn, in the order in which it came.
 type Owner interface{ Post(f func()) }
 
@@ -36,6 +43,24 @@
 	ctx.Value(ownerKey{}).(Owner).Post(callback)
 }
 
+// Accept takes a connection from a listener, for the Accept of the one that netpoll is given. Where descriptors, or the
+// system's memory for them, have run out it calls short and gives no connection and no error, as where none waits: the
+// connection stays in the listener, and is asked for again shortly. Netpoll must not hear of it. It takes the listener
+// from its poller for up to a second at a time then, but only the first time that this happens: from the second time on
+// it asks again without rest, and starts a goroutine and writes two lines at each try. short must not wait.
+func Accept(from netpoll.Listener, short func()) (net.Conn, error) {
+	link, err := from.Accept()
+	switch {
+	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
+		short()
+		time.Sleep(shortWait)
+	case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR): // it is gone already, or was not asked for yet
+	default:
+		return link, err
+	}
+	return nil, nil
+}
+
 // complaints puts what netpoll logs into our log.
 type complaints struct{}
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -187,6 +187,13 @@
 	io.WriteString(p.link, text)
 }
 
+// SetEcho has the pool end each run as it begins, from here on.
+func (p *Pool) SetEcho() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Echo = true
+}
+
 // Silence has the pool tell no gauges for a while.
 func (p *Pool) Silence(on bool) {
 	p.mu.Lock()
