A full table of descriptors: the link, checks and new routers get through

Cause: netpoll takes all connections that come, and internal/front/front.go (joined) refuses those past the table only in the owner's turn. A flood between two turns took the descriptors that the process needs itself. Where all connections were in use, or none had had 50 ms to speak, a newcomer was closed unread, a health check among them.

Change: few connections are without their turn at a time, the others wait in the listener. "parted" shares descriptors out: 16 for the process, up to 8 for connections beyond a table in use, up to 16 without their turn; never more than RLIMIT_NOFILE. Newcomers to a table in use have their checks answered and their tasks dismissed, never run; past those one is refused after 50 ms, as by then one that says nothing can make room.

TestTableFull asked that the first newcomer to a table in use be closed. That is what was wrong; it asks now that as many as there are places have their check and their one answer, that the next is refused, and that one that came beyond the table is served once there is room.

TestTableFull and TestDescriptorsAreParted are new or changed with it.

--- a/cmd/quartzpoint/descriptors_test.go
+++ b/cmd/quartzpoint/descriptors_test.go
@@ -115,12 +115,63 @@
 }
 
 // What connections of routers do in a full table.
+func silent(net.Conn, uint32) {}
+
 func asksOnce(router net.Conn, i uint32) {
 	if _, err := router.Write(standin.Frame(20, 1000+i, "", "e2e", "0")); err == nil {
 		_, _ = rig.ReadReply(router) // answered, or closed to make room
 	}
 }
 
+func hasTask(router net.Conn, i uint32) { _, _ = router.Write(standin.Task(1000+i, "pay", "")) }
+
+// Routers that can't hear of a change keep their connections, and these fill the table. What is needed gets through: a
+// task and a check of a router that comes anew, the reports, the pool's link when it is lost; the process does not spin,
+// and when the others have gone all is as it was.
+func TestFullTableOfDescriptors(t *testing.T) {
+	fills := map[string]func(net.Conn, uint32){"silent": silent, "asked once": asksOnce, "in use": hasTask}
+	for _, sockets := range []int{32, 48, 64, 100, 256} {
+		for name, say := range fills {
+			t.Run(fmt.Sprintf("%d %s", sockets, name), func(t *testing.T) {
+				p := launchWithin(t, sockets)
+				before := p.descriptors(t)
+				end := p.flood(2*sockets, say)
+				bound := strings.Count(p.log.String(), "pool link bound")
+				p.pool.Cut()
+				require.Eventually(t, func() bool { return strings.Count(p.log.String(), "pool link bound") > bound },
+					standin.Patience, time.Millisecond, "the pool's link is not had again")
+
+				health := standin.Dial(t, p.address)
+				health.Send(t, standin.Frame(20, 1, "", "e2e", "0"))
+				assert.Equal(t, byte(21), health.Next(t).Type)
+				router := standin.Dial(t, p.address) // beside it
+				router.Send(t, standin.Task(1, "pay", ""))
+				if name != "in use" { // where there is room for it, it runs
+					p.pool.Finish(p.pool.Next(t, "spawn").Task, "success", nil)
+				}
+				reply := router.Next(t)
+				assert.Equal(t, []any{byte(11), uint32(1)}, []any{reply.Type, reply.Stream})
+				router.Close()
+				health.Close()
+				p.idles(t)
+				for { // a report from now on, not one that waits in the socket
+					asked := time.Now()
+					if assert.Equal(t, "HB n1 UP", p.members.Next(t)); time.Since(asked) > 10*time.Millisecond {
+						break
+					}
+				}
+				assert.NotContains(t, p.log.String(), "descriptors ran out", "those for the process itself are taken")
+				assert.NotContains(t, p.log.String(), "too many open files")
+
+				p.pool.SetEcho()
+				end()
+				require.Eventually(t, func() bool { return p.descriptors(t) <= before }, standin.Patience, time.Millisecond)
+				p.honoured(t, 2)
+			})
+		}
+	}
+}
+
 // Descriptors run out though the table is not full, as where others take them: idle connections make
 // room, and it neither spins nor writes line after line, however often it happens.
 func TestDescriptorsRunOut(t *testing.T) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -53,6 +53,7 @@
 	dead    bool
 	retired bool
 	spoke   bool // it has sent a frame that was understood
+	crowds  bool // it came where the whole table was in use
 	broken  bool // nothing more is read from it; what is open on it is still answered
 	hushed  bool // and its router was told that nothing more comes
 	born    time.Duration
@@ -229,6 +230,8 @@
 		return
 	}
 	asked.Caller, asked.Stream = c, f.Stream
+	c.crowds = c.crowds && !c.front.makeRoom(c)
+	asked.NoRoom = c.crowds && c.front.inUse() >= c.front.most
 	if t := c.front.server.Take(asked); t != nil {
 		c.open[f.Stream], c.spoke = t, true
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -18,8 +19,12 @@
 )
 
 const (
-	sparedSockets = 64 // descriptors that connections never take: link, reports, poller, log, runtime
-	soonFull      = 8  // from the last part of this size of the table on, the longest idle make room
+	sparedSockets = 64 // descriptors that the table never takes, where there are twice as many
+	ownSockets    = 16 // of these, for the process itself: 13 at rest, and a link, a configuration or reports on the move
+	mostCrowded   = 8  // of the others, those for connections beyond a table in use
+	mostUntried   = 16 // and those for connections that are taken and have had no turn
+	untriedWait   = time.Millisecond
+	soonFull      = 8 // from the last part of this size of the table on, the longest idle make room
 	sweepEvery    = 100 * time.Millisecond
 	retiredWait   = time.Second            // for a router to close what it was asked to
 	leavingWait   = 300 * time.Millisecond // the same while leaving: those that stay for good must not hold up the end
@@ -39,7 +44,9 @@
 	closing  atomic.Bool
 	loop     netpoll.EventLoop
 
-	most    int
+	most    int // connections
+	crowd   int // beyond those, where all are in use
+	untried int // connections taken and without their turn, at the most
 	conns   []*conn
 	dirty   []*conn
 	waiting int // bytes that peers have yet to read
@@ -51,9 +58,9 @@
 	shut    bool // the listener was told to take no more connections
 	open    bool // and does so all the same
 	taken   atomic.Int64
-	joins   int64       // of those taken, how many had their first turn
-	making  atomic.Bool // room, in a turn that is to come
-	tells   bool        // routers say when nobody waits any longer
+	joins   atomic.Int64 // of those taken, how many had their first turn
+	making  atomic.Bool  // room, in a turn that is to come
+	tells   bool         // routers say when nobody waits any longer
 }
 
 // Listen takes the address for a front; connections come once it serves.
@@ -66,11 +73,11 @@
 	}
 	f := &Front{
 		server: s, counts: counts, log: log,
-		most:  max(limits.Sockets-sparedSockets, limits.Sockets/2),
 		bound: limits.MemoryMB << 20 / outShare,
 		ahead: limits.MemoryMB << 20 / aheadShare,
 		tells: s.TellsGone(),
 	}
+	f.most, f.crowd, f.untried = parted(within(limits.Sockets))
 	f.listener = &counted{listener, f}
 	f.loop, err = netpoll.NewEventLoop(read, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
@@ -79,6 +86,24 @@
 	return f, nil
 }
 
+// within is what a process told of so many descriptors may have of them: the system may hold it to fewer.
+func within(sockets int) int {
+	var held unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &held); err != nil || held.Cur > math.MaxInt32 {
+		return sockets
+	}
+	return min(sockets, int(held.Cur))
+}
+
+// parted shares descriptors out: to the table, to connections that come where all of that are in use, and to those that
+// are taken and have had no turn. The rest is for the process itself.
+func parted(sockets int) (most, crowd, untried int) {
+	most = max(sockets-sparedSockets, min(sockets/2, sockets-ownSockets-4), 1)
+	free := sockets - ownSockets - most
+	crowd = max(min(free/2, mostCrowded), 1)
+	return most, crowd, max(min(free-crowd, mostUntried), 1)
+}
+
 // counted is a listener that counts the connections taken from it.
 type counted struct {
 	netpoll.Listener
@@ -86,8 +111,14 @@
 }
 
 // Accept counts a connection before it takes it, so that one is always seen: in the listener, or as taken and without
-// its turn.
+// its turn. Those without their turn are few: netpoll takes all that come, and a flood of them would take the descriptors
+// that the process itself needs before the owner can refuse any. The others wait in the listener, and the poller rests
+// for the owner's turn rather than ask again at once.
 func (c *counted) Accept() (net.Conn, error) {
+	if c.front.taken.Load()-c.front.joins.Load() >= int64(c.front.untried) {
+		time.Sleep(untriedWait)
+		return nil, nil
+	}
 	c.front.taken.Add(1)
 	link, err := poller.Accept(c.Listener, c.front.short)
 	if link == nil || err != nil {
@@ -132,31 +163,50 @@
 
 // joined books a connection. Near the end of the table the one that is needed least is asked to go, and at the
 // end it is closed: a table full of connections that say nothing, or that asked once and stay, must not turn
-// routers away. A task that crosses the close of an idle connection is sent again by its router. It could harm
-// where more routers than the table holds are all in use; then the new one is refused, unread.
+// routers away. A task that crosses the close of an idle connection is sent again by its router. Where all are in use
+// some more are let in all the same: their checks are answered, and their tasks dismissed, so that they are soon idle and
+// make room for the next. Past those a new one is refused, though not before others have had the time to say something:
+// of those that say nothing one makes room then.
 func (f *Front) joined(c *conn) {
-	f.joins++
 	f.conns = append(f.conns, c)
-	if f.retired {
-		c.retire()
+	if f.placed(c) {
+		f.joins.Add(1)
 		return
 	}
-	open := 0
-	for _, other := range f.conns {
-		if !other.dead {
-			open++
+	time.AfterFunc(newWait, func() { // as many as there may be untried
+		f.server.Post(func() {
+			f.joins.Add(1)
+			if !f.placed(c) {
+				f.counts.Saw("connection refused, table full")
+				c.close()
+			}
+		})
+	})
+}
+
+// placed finds a place for a new connection, and tells whether it could.
+func (f *Front) placed(c *conn) bool {
+	open := f.live()
+	switch {
+	case c.dead:
+	case f.retired:
+		c.retire()
+	case open > f.most:
+		if c.crowds = !f.makeRoom(c); c.crowds {
+			f.counts.Saw("connection beyond the table, all in use")
+			return f.live() <= f.most+f.crowd
 		}
+	case open > f.most-f.most/soonFull:
+		f.thin(c)
 	}
-	full := open > f.most
-	if open <= f.most-f.most/soonFull {
-		return
-	}
-	switch least := f.leastNeeded(c, full); {
-	case least == nil && full:
-		f.counts.Saw("connection refused, table full")
-		c.close() // nothing was read from it, so nothing ran
+	return true
+}
+
+// thin asks the connection that is needed least to go, as the table is nearly full.
+func (f *Front) thin(newcomer *conn) {
+	switch least := f.leastNeeded(newcomer, false); {
 	case least == nil:
-	case full || !least.spoke:
+	case !least.spoke:
 		f.counts.Saw("connection closed to make room")
 		least.close()
 	default:
@@ -165,6 +215,40 @@
 	}
 }
 
+// makeRoom closes the one that is needed least for a newcomer to a full table, and tells whether all have a place then.
+func (f *Front) makeRoom(newcomer *conn) bool {
+	open := f.live()
+	if open <= f.most {
+		return true
+	}
+	if least := f.leastNeeded(newcomer, true); least != nil {
+		f.counts.Saw("connection closed to make room")
+		least.close()
+		open--
+	}
+	return open <= f.most
+}
+
+// inUse is the number of connections that something is still to be answered on.
+func (f *Front) inUse() (used int) {
+	for _, c := range f.conns {
+		if !c.dead && (len(c.open) > 0 || !c.out.Empty()) {
+			used++
+		}
+	}
+	return used
+}
+
+// live is the number of connections that are not closed.
+func (f *Front) live() (open int) {
+	for _, c := range f.conns {
+		if !c.dead {
+			open++
+		}
+	}
+	return open
+}
+
 // leastNeeded finds the connection that a new one may take the place of: of those that never sent a frame that
 // was understood, though they had the time for it, the oldest; without one, the one idle for longest. Those
 // asked to go already count only where the table is full.
@@ -304,7 +388,7 @@
 // had no turn, no bytes on any.
 func (f *Front) Quiet() bool {
 	// In this order: a connection is counted before it leaves the listener.
-	if (!f.shut || f.open) && ready(f.listener.Fd()) || f.taken.Load() != f.joins {
+	if (!f.shut || f.open) && ready(f.listener.Fd()) || f.taken.Load() != f.joins.Load() {
 		return false
 	}
 	for _, c := range f.conns {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/frame"
@@ -274,8 +276,57 @@
 		})
 		return <-open == len(all)
 	}, standin.Patience, time.Millisecond)
+	require.Positive(t, b.crowd)
+	hold := func(begun time.Duration) { // as where they have begun what is on its way
+		b.inTurn(func() {
+			for _, c := range b.conns {
+				if c.crowds {
+					c.begun = begun
+				}
+			}
+		})
+	}
+	for range b.crowd { // each is heard, and has its one answer
+		r := b.speaker(t)
+		r.Send(t, standin.Task(9, "pay", "", "call", standin.Call(9)))
+		assert.Equal(t, byte(50), r.Next(t).Code)
+		hold(b.server.Now() + standin.Patience)
+	}
+	b.counted(t, "task on a connection beyond the table")
+	assert.Zero(t, b.counts.Times("connection refused, table full"))
 	standin.Dial(t, b.Address()).Closed(t)
 	b.counted(t, "connection refused, table full")
+	hold(0)
+	last := b.speaker(t) // in the place of one of them
+
+	for _, r := range all { // one that came beyond the table is as any other once it is within
+		r.Close()
+	}
+	require.Eventually(t, func() (within bool) {
+		b.inTurn(func() { within = b.live() <= b.most })
+		return within
+	}, standin.Patience, time.Millisecond)
+	b.pool.SetEcho()
+	last.Send(t, standin.Task(10, "pay", "", "call", standin.Call(10)))
+	assert.Equal(t, byte(20), last.Next(t).Code)
+}
+
+// Whatever there is, the process itself has its part, and each of the others some.
+func TestDescriptorsAreParted(t *testing.T) {
+	for _, c := range []struct{ sockets, most, crowd, untried int }{
+		{4, 1, 1, 1}, {24, 4, 2, 2}, {32, 12, 2, 2}, {48, 24, 4, 4}, {64, 32, 8, 8}, {100, 50, 8, 16}, {128, 64, 8, 16},
+		{256, 192, 8, 16}, {4096, 4032, 8, 16},
+	} {
+		most, crowd, untried := parted(c.sockets)
+		assert.Equal(t, []int{c.most, c.crowd, c.untried}, []int{most, crowd, untried}, "%d", c.sockets)
+		if c.sockets > ownSockets+3 {
+			assert.LessOrEqual(t, most+crowd+untried, c.sockets-ownSockets)
+		}
+	}
+	assert.Equal(t, 1, within(1))
+	var held unix.Rlimit
+	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &held))
+	assert.Equal(t, min(int(held.Cur), math.MaxInt32), within(math.MaxInt32))
 }
 
 // What says nothing, or does not end what it began, is told so and closed in time; a byte now and then is no sign
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -96,6 +96,7 @@
 	Body   []byte // kept
 	Caller Caller
 	Stream uint32
+	NoRoom bool // for its connection, so it is dismissed
 
 	Number   string // of a numbered task, the same for all its repeats
 	Shape    uint64 // by which a repeat is known to ask for the same
@@ -127,6 +128,8 @@
 		s.counts.Saw("task whose call may have run before")
 		a.Caller.Answer(a.Stream, Answer{Verdict: GivenUp, Level: s.level})
 		return nil
+	case a.NoRoom:
+		s.counts.Saw("task on a connection beyond the table")
 	case due && a.Waits <= 0:
 		s.counts.Saw("task without a due time")
 	case len(s.tasks) >= s.most:
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -187,11 +189,14 @@
 	io.WriteString(p.link, text)
 }
 
-// SetEcho has the pool end each run as it begins, from here on.
+// SetEcho has the pool end all runs, and from here on each as it begins.
 func (p *Pool) SetEcho() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Echo = true
+	for _, task := range slices.Sorted(maps.Keys(p.running)) {
+		p.end(task, "success", nil)
+	}
 }
 
 // Silence has the pool tell no gauges for a while.
