Lists of processes hold a thousand, and take memory by what is used

Cause: bounds made for small fleets. knowledge/giving.go remembered 256 addresses, so in a fleet of more one that had used up its asks was given all anew; internal/leasing/leasing.go laid out a queue for 256 ballots and answers and dropped the rest; internal/own/peers.go refused a configuration with more than 16 peers; budget/dependency.go laid out the queue and the share of each dependency at its start, 5,096 entries at their bounds.

Change: 1,024 addresses and peers, 4,096 ballots in a queue that grows and is let go. A newcomer, and a keeper of leases, talks with 16 peers at once at the most, as each talk takes a descriptor; up to 16 peers that is what it was.

TestQueueOfAThousand needs the new queue; it was seen to fail (256 of 1,024 done) with the old bound in it.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -474,3 +474,9 @@
 		k.Turn(now)
 	}
 }
+
+// A wide share and a long queue cost nothing until they are used.
+func TestNothingIsLaidOutForABound(t *testing.T) {
+	d := NewDependency(Terms{Share: 1000, Waiting: 4096}, 1)
+	assert.Zero(t, cap(d.waiting)+cap(d.lingering))
+}
--- a/budget/dependency.go
+++ b/budget/dependency.go
@@ -109,7 +109,6 @@
 	return &Dependency{
 		terms: t, rng: rand.New(rand.NewSource(seed)), limit: max(1, float64(t.Share)*startShare),
 		times: hdrhistogram.New(1, mostCallTime, 2), pause: firstOpen,
-		lingering: make([]time.Duration, 0, t.Share), waiting: make([]waiter, 0, t.Waiting),
 	}
 }
 
--- a/internal/exchange/asker.go
+++ b/internal/exchange/asker.go
@@ -105,6 +105,9 @@
 	Log    *slog.Logger
 }
 
+// mostTalks is how many peers a newcomer asks at once, as each takes a descriptor.
+const mostTalks = 16
+
 // errCold tells that a peer has nothing to tell yet; it is asked again, as one that is down is.
 var errCold = errors.New("peer is cold itself, or idle")
 
@@ -127,6 +130,7 @@
 		ok   bool
 	}
 	views := make([]had, len(a.Peers))
+	talks := make(chan struct{}, mostTalks)
 	open, settled := 0, false
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -163,8 +167,16 @@
 		for _, peer := range asking.Due(now, cold) {
 			open++
 			go func() {
-				view, err := Ask(ctx, a.Peers[peer], a.Keys)
-				answers <- answer{peer, view, err}
+				var got answer
+				select {
+				case talks <- struct{}{}:
+					got.view, got.err = Ask(ctx, a.Peers[peer], a.Keys)
+					<-talks
+				case <-ctx.Done():
+					got.err = ctx.Err()
+				}
+				got.peer = peer
+				answers <- got
 			}()
 		}
 		if !settled && (now >= a.Total || open == 0) {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -443,6 +444,54 @@
 	cancel()
 }
 
+// A newcomer asks each of a thousand peers, a few at once: each talk takes a descriptor.
+func TestAskerOfAThousand(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var cold atomic.Bool
+	cold.Store(true)
+	heard := make(chan struct{}, 4096)
+	var open, most atomic.Int64
+	var over sync.WaitGroup
+	over.Add(1)
+	go func() {
+		defer over.Done()
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			most.Store(max(most.Load(), open.Add(1))) // this goroutine alone writes it
+			over.Add(1)
+			go func() {
+				defer over.Done()
+				_, _ = c.Read(make([]byte, mostFrame))
+				time.Sleep(time.Millisecond) // in which the others would come
+				open.Add(-1)                 // before the asker hears of the end, and may ask the next
+				c.Close()
+				heard <- struct{}{}
+			}()
+		}
+	}()
+	defer over.Wait()
+	defer listener.Close()
+	a, _ := asker(t, slices.Repeat([]string{listener.Addr().String()}, 1024), &cold)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() { a.Run(ctx); close(ended) }()
+	for limit := time.After(patience); len(heard) < 1024; {
+		select {
+		case <-limit:
+			require.FailNow(t, "not all were asked")
+		case <-time.After(time.Millisecond):
+		}
+	}
+	assert.LessOrEqual(t, most.Load(), int64(mostTalks))
+	cancel()
+	<-ended
+}
+
 // Two newcomers that ask each other learn nothing, and end with their context.
 func TestTwoNewcomers(t *testing.T) {
 	a, _ := giver(t, nil)
--- a/internal/leasing/leasing.go
+++ b/internal/leasing/leasing.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	mostPosted = 256 // ballots and answers that wait for the keeper's turn; more are dropped and time out
-	roundsPer  = 4   // rounds of asks within one lease, so that a holder renews three times before its end
+	mostPosted = 4096 // ballots and answers that wait for the keeper's turn; more are dropped and time out
+	mostTalks  = 16   // with peers at once, as each takes a descriptor
+	roundsPer  = 4    // rounds of asks within one lease, so that a holder renews three times before its end
 )
 
 // Settings are what a keeper is started with.
@@ -60,7 +61,10 @@
 	candidates []*lease.Candidate
 	held       []bool
 	heard      []string // holder last named in a refusal, so that each change is said once
-	posted     chan func()
+	mu         sync.Mutex
+	posted     []func()
+	woken      chan struct{}
+	talks      chan struct{}   // one of them in each that may be had
 	asks       []chan [][]byte // one a peer, room for one round's ballots
 	shown      atomic.Pointer[[]Holding]
 	over       sync.WaitGroup
@@ -76,7 +80,8 @@
 	}
 	k := &Keeper{
 		settings: s, began: time.Now(), grantor: lease.NewGrantor(s.Name, s.Terms),
-		held: make([]bool, len(s.Duties)), heard: make([]string, len(s.Duties)), posted: make(chan func(), mostPosted),
+		held: make([]bool, len(s.Duties)), heard: make([]string, len(s.Duties)), woken: make(chan struct{}, 1),
+		talks: make(chan struct{}, mostTalks),
 	}
 	k.grantor.Restarted(k.now())
 	for i, duty := range s.Duties {
@@ -107,9 +112,25 @@
 }
 
 func (k *Keeper) post(f func()) {
+	k.mu.Lock()
+	if len(k.posted) < mostPosted { // else the ask or answer is lost, as on the way, and the lease is made for that
+		k.posted = append(k.posted, f)
+	}
+	k.mu.Unlock()
 	select {
-	case k.posted <- f:
-	default: // full: the ask or answer is lost, as on the way, and the lease is made for that
+	case k.woken <- struct{}{}:
+	default:
+	}
+}
+
+// turn does what was posted.
+func (k *Keeper) turn() {
+	k.mu.Lock()
+	batch := k.posted
+	k.posted = nil // so that a queue that was long once holds no memory
+	k.mu.Unlock()
+	for _, f := range batch {
+		f()
 	}
 }
 
@@ -155,8 +176,8 @@
 			k.show()
 			k.over.Wait()
 			return
-		case f := <-k.posted:
-			f()
+		case <-k.woken:
+			k.turn()
 			k.look()
 		case <-ticker.C:
 			k.round()
@@ -190,7 +211,7 @@
 	k.look()
 }
 
-// ask is one peer's sender: it has one talk at a time, so a peer that does not answer holds up nobody else.
+// ask is one peer's sender: it has one talk at a time, so up to mostTalks peers that do not answer hold up nobody else.
 func (k *Keeper) ask(ctx context.Context, address string, asks chan [][]byte) {
 	defer k.over.Done()
 	for {
@@ -198,9 +219,15 @@
 		case <-ctx.Done():
 			return
 		case batch := <-asks:
+			select {
+			case <-ctx.Done():
+				return
+			case k.talks <- struct{}{}:
+			}
 			for _, raw := range batch {
 				k.send(ctx, address, raw)
 			}
+			<-k.talks
 		}
 	}
 }
--- a/internal/leasing/leasing_test.go
+++ b/internal/leasing/leasing_test.go
@@ -70,3 +70,33 @@
 	_, err := New(Settings{Name: "x", Duties: duties, Terms: terms, Peers: []string{"a"}})
 	assert.ErrorContains(t, err, "3 voters for 1 peers")
 }
+
+// A thousand voters answer at once, and more than the queue holds come to it: it holds what it says, and no memory for
+// what is not there.
+func TestQueueOfAThousand(t *testing.T) {
+	k, err := New(Settings{Name: "a", Duties: []string{"d"}, Terms: lease.Terms{Lease: time.Second, Voters: 1},
+		Log: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	assert.Zero(t, cap(k.posted))
+	done := 0
+	for range 1024 {
+		k.post(func() { done++ })
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	k.post(func() { cancel() })
+	go func() { k.Run(ctx); close(over) }()
+	select {
+	case <-over:
+	case <-time.After(10 * time.Second):
+		cancel()
+		<-over
+	}
+	assert.Equal(t, 1024, done)
+	for range mostPosted + 10 {
+		k.post(func() {})
+	}
+	assert.Len(t, k.posted, mostPosted)
+	k.turn()
+	assert.Zero(t, cap(k.posted))
+}
--- a/internal/own/peers.go
+++ b/internal/own/peers.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	mostPeers    = 16
+	mostPeers    = 1024
 	totalDefault = 300 * time.Millisecond
 )
 
--- a/knowledge/giving.go
+++ b/knowledge/giving.go
@@ -10,7 +10,7 @@
 	burst     = 1.0         // seconds' worth that may come at once
 	openEach  = 4           // connections of one address
 	openAll   = 16          // and in all
-	mostKnown = 256         // addresses remembered; past it, one that has not asked for longest is forgotten
+	mostKnown = 1024        // addresses remembered; past it, one that has not asked for longest is forgotten
 	backSoon  = time.Second // advice to one that is turned away
 )
 
--- a/knowledge/knowledge_test.go
+++ b/knowledge/knowledge_test.go
@@ -228,3 +228,24 @@
 	}
 	assert.LessOrEqual(t, len(g.known), mostKnown)
 }
+
+// A fleet of a thousand that asks in turn: what each has had is still known when it comes again.
+func TestGivingRemembersALargeFleet(t *testing.T) {
+	g := NewGiving(0)
+	name := func(i int) string { return "10.0." + string(rune('A'+i)) }
+	now := time.Duration(0)
+	for i := range 1024 {
+		now += time.Second // in which what all together may ask is had again
+		require.True(t, g.Joined(name(i), now))
+		for range int(asksEach * burst) {
+			given, _ := g.Ask(name(i), 1, now)
+			require.True(t, given)
+		}
+		g.Left(name(i))
+	}
+	for i := range 1024 { // no time passes
+		of := g.known[name(i)]
+		require.NotNil(t, of, "%d is forgotten, and would be given all anew", i)
+		assert.Less(t, of.asks, 1.0)
+	}
+}
