Test: thirty processes killed and started at once answer health checks

No fault was found, so this test fails on no old code.

"prepare" chose a port at 127.0.0.1 that any connection may be given before its process listens there, which 30 processes at once make likely; it takes one by rig.FreeAddress now, which is for that.

A folder of state of some size is not part of the test.

--- a/cmd/quartzpoint/main_test.go
+++ b/cmd/quartzpoint/main_test.go
@@ -59,12 +59,9 @@
 
 // prepare makes all that a process needs, short of its start.
 func prepare(t *testing.T, command ...string) *program {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := rig.FreeAddress() // not at 127.0.0.1, where a connection may be given the port before the process has it
 	require.NoError(t, err)
-	p := &program{
-		address: free.Addr().String(), pool: standin.NewPool(t), members: standin.NewMembers(t), log: &rig.LogText{},
-	}
-	free.Close()
+	p := &program{address: address, pool: standin.NewPool(t), members: standin.NewMembers(t), log: &rig.LogText{}}
 	p.path = standin.StartFile(t, p.address, p.pool.Address, p.members.Address, standin.Site)
 	p.cmd = exec.Command(command[0], command[1:]...)
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.path, "EDGE_NAME=n1", "EDGE_LISTEN="+p.address)
--- /dev/null
+++ b/cmd/quartzpoint/readiness_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/rig"
+	"quartzpoint/internal/standin"
+)
+
+// ready waits until the process says that it is in good health and gives how long that took since a moment.
+func (p *program) ready(since time.Time) time.Duration {
+	for time.Since(since) < standin.Patience {
+		if p.checked() {
+			return time.Since(since)
+		}
+		time.Sleep(10 * time.Millisecond) // between tries, as routers have it
+	}
+	return standin.Patience
+}
+
+// checked tells whether a health check is answered with good health.
+func (p *program) checked() bool {
+	health, err := net.Dial("tcp", p.address)
+	if err != nil {
+		return false
+	}
+	defer health.Close()
+	_ = health.SetDeadline(time.Now().Add(standin.Patience))
+	if _, err := health.Write(standin.Frame(20, 1, "", "e2e", "0")); err != nil {
+		return false
+	}
+	reply, err := rig.ReadReply(health)
+	return err == nil && reply.Type == 21 && reply.Code == 20
+}
+
+// All processes of a fleet are killed and started at once, with their folders of state, while their pools are not up, and
+// the peers that they ask take their asks and never answer: nothing of that stands before a health check.
+func TestRestartOfAFleet(t *testing.T) {
+	const fleet, late, within = 30, 3, 10 * time.Second
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // the system takes connections for it
+	require.NoError(t, err)
+	defer silent.Close()
+	var all []*program
+	for range fleet {
+		folder := t.TempDir()
+		own := filepath.Join(folder, "own.toml")
+		require.NoError(t, os.WriteFile(own, fmt.Appendf(nil,
+			"[state]\ndir = %q\nsite = \"s\"\nnumbers = true\n[peers]\nask = [%q]\ntotal = \"10s\"\n",
+			filepath.Join(folder, "state"), silent.Addr()), 0o600))
+		p := prepare(t, builds["release"], "serve", "--own", own)
+		require.NoError(t, p.cmd.Start())
+		p.endWith(t)
+		all = append(all, p)
+	}
+	for _, p := range all {
+		require.Less(t, p.ready(time.Now()), standin.Patience)
+	}
+	for _, p := range all {
+		require.NoError(t, p.cmd.Process.Kill())
+		_ = p.cmd.Wait()
+	}
+	began := time.Now()
+	took := make([]time.Duration, fleet)
+	over := make(chan struct{})
+	for i, p := range all {
+		was := p.cmd
+		p.cmd = exec.Command(was.Path, was.Args[1:]...)
+		p.cmd.Env, p.cmd.Stderr = was.Env, was.Stderr
+		require.NoError(t, p.cmd.Start())
+		p.endWith(t)
+		go func() { took[i] = p.ready(began); over <- struct{}{} }()
+	}
+	for range all {
+		<-over
+	}
+	slices.Sort(took)
+	t.Logf("ready after %v, half of them after %v, the last after %v", took[0], took[fleet/2], took[fleet-1])
+	assert.Less(t, took[fleet-1-late], within)
+}
