--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -187,6 +189,16 @@
 	io.WriteString(p.link, text)
 }
 
+// SetEcho has the pool end all runs, and from here on each as it begins.
+func (p *Pool) SetEcho() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Echo = true
+	for _, task := range slices.Sorted(maps.Keys(p.running)) {
+		p.end(task, "success", nil)
+	}
+}
+
 // Silence has the pool tell no gauges for a while.
 func (p *Pool) Silence(on bool) {
 	p.mu.Lock()
