Little memory collects early, not without end; a test's link stays away until it is told where to go

Cause: serve.go set the runtime's memory limit to 0.7 of what is stated, below what it maps at rest, where it does nothing but collect. Below 16 MiB the limit is 16 MiB and the heap grows by a quarter between collections; floors of 10 and 12 MiB were tried and did not help.

--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -23,6 +23,8 @@
 
 const (
 	heapPart  = 0.7 // of the memory that the runtime may take before it collects at any price
+	heapLeast = 16  // MiB of that: it maps 12 without a heap to speak of, and near its limit it does nothing but collect
+	collects  = 25  // percent that the heap grows between collections, where the least is more than the part
 	linkShare = 16  // part of the memory, as a divisor, that commands to the pool may take
 )
 
@@ -31,6 +33,17 @@
 	Own string `placeholder:"FILE" help:"The product's own file (TOML). Without it all that is set there is off."`
 }
 
+// limitMemory has the runtime keep to its part of the memory. Of little memory that is less than it takes at rest; there
+// a small heap is had by collecting early, and not by collecting without end.
+func limitMemory(bytes int) {
+	part := int64(float64(bytes) * heapPart)
+	if part < heapLeast<<20 {
+		part = heapLeast << 20
+		debug.SetGCPercent(collects)
+	}
+	debug.SetMemoryLimit(part)
+}
+
 // Run serves until the notice to leave, and to the end of it.
 func (cmd *serving) Run(log *slog.Logger) error {
 	// Before all else: unheard, each of them ends the process. Parted, so that no row of SIGHUP crowds out the notice.
@@ -47,7 +60,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(s.Limits.cores())
-	debug.SetMemoryLimit(int64(float64(s.Limits.memory()) * heapPart))
+	limitMemory(s.Limits.memory())
 
 	seed := int64(s.Seed)
 	counts := check.New(log)
--- a/internal/server/calls_test.go
+++ b/internal/server/calls_test.go
@@ -124,13 +124,15 @@
 			b.bound(t)
 			b.pool.Block(standin.Call(1), []byte("more"))
 			c = d.next(t)
+			b.pool.Move(t) // nobody is where the link would come back
 			b.pool.Cut()
 			require.Eventually(t, func() bool {
 				asked := true
 				b.inTurn(func() { _, asked = b.link.Poll() })
 				return !asked
 			}, standin.Patience, time.Millisecond)
-			b.CallEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Result: []byte("this")})
+			b.inTurn(func() { b.callEnded(runs.CallEnd{Call: c, Outcome: choice.Done, Result: []byte("this")}) })
+			b.toPool.Move(b.pool.Address)
 			assert.Equal(t, "this", string(b.pool.Next(t, "supply").Body))
 			b.pool.Finish(standin.Call(1), "success", nil)
 			assert.Equal(t, Honoured, b.next(t).Verdict)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -30,6 +30,7 @@
 type bench struct {
 	*Server
 	pool    *standin.Pool
+	toPool  *pool.Link
 	counts  *check.Counts
 	answers chan answered
 	checks  chan bool
@@ -64,6 +65,7 @@
 	b.Server, err = New(told, 1, limits, b.counts, log)
 	require.NoError(t, err)
 	link := pool.New(b.pool.Address, 1<<20, log, b.counts.Saw, b.Nudge)
+	b.toPool = link
 	b.Serve(link, b)
 	if on != nil {
 		b.Depend(on, link)
