--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -23,7 +23,7 @@
 
 const (
 	heapPart  = 0.7 // of the memory that the runtime may take before it collects at any price
-	heapLeast = 16  // MiB of that: it maps 12 without a heap to speak of, and near its limit it does nothing but collect
+	minHeap   = 16  // MiB of that: it maps 12 without a heap to speak of, and near its limit it does nothing but collect
 	collects  = 25  // percent that the heap grows between collections, where the least is more than the part
 	linkShare = 16  // part of the memory, as a divisor, that commands to the pool may take
 )
@@ -37,8 +37,8 @@
 // a small heap is had by collecting early, and not by collecting without end.
 func limitMemory(bytes int) {
 	part := int64(float64(bytes) * heapPart)
-	if part < heapLeast<<20 {
-		part = heapLeast << 20
+	if part < minHeap<<20 {
+		part = minHeap << 20
 		debug.SetGCPercent(collects)
 	}
 	debug.SetMemoryLimit(part)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,8 +21,8 @@
 const (
 	sparedSockets = 64 // descriptors that the table never takes, where there are twice as many
 	ownSockets    = 16 // of these, for the process itself: 13 at rest, and a link, a configuration or reports on the move
-	mostCrowded   = 8  // of the others, those for connections beyond a table in use
-	mostUntried   = 16 // and those for connections that are taken and have had no turn
+	maxCrowded    = 8  // of the others, those for connections beyond a table in use
+	maxUntried    = 16 // and those for connections that are taken and have had no turn
 	untriedWait   = time.Millisecond
 	soonFull      = 8 // from the last part of this size of the table on, the longest idle make room
 	sweepEvery    = 100 * time.Millisecond
@@ -100,8 +100,8 @@
 func parted(sockets int) (most, crowd, untried int) {
 	most = max(sockets-sparedSockets, min(sockets/2, sockets-ownSockets-4), 1)
 	free := sockets - ownSockets - most
-	crowd = max(min(free/2, mostCrowded), 1)
-	return most, crowd, max(min(free-crowd, mostUntried), 1)
+	crowd = max(min(free/2, maxCrowded), 1)
+	return most, crowd, max(min(free-crowd, maxUntried), 1)
 }
 
 // counted is a listener that counts the connections taken from it.
