--- a/cmd/qplab/flat.go
+++ b/cmd/qplab/flat.go
@@ -15,8 +15,8 @@
 	"quartzpoint/budget"
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/compose"
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/front"
-	"quartzpoint/internal/own"
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/runs"
 	"quartzpoint/internal/server"
@@ -31,7 +31,7 @@
 // flat is the baseline that calls are budgeted against: one time-out for every call and three retries, as client
 // libraries have them. Everything else of the server is the same.
 type flat struct {
-	Own string `help:"The product's own file, for dependencies and types."`
+	Config string `name:"config" aliases:"own" help:"The product's own file, for dependencies and types."`
 }
 
 // Run serves as the daemon does, but for how calls are made.
@@ -55,7 +55,7 @@
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return err
 	}
-	ours, err := own.Read(cmd.Own)
+	ours, err := config.Read(cmd.Config)
 	if err != nil {
 		return err
 	}
@@ -78,7 +78,7 @@
 	defer cancel()
 	link := pool.New(s.Pool, 1<<20, log, counts.Saw, owner.Nudge)
 	owner.Serve(link, routers)
-	f := &flatComposer{owner: owner, types: map[string]own.Type{}, tasks: map[string]*flatTask{}, open: map[*compose.Sent]flatCall{}}
+	f := &flatComposer{owner: owner, types: map[string]config.Type{}, tasks: map[string]*flatTask{}, open: map[*compose.Sent]flatCall{}}
 	var over sync.WaitGroup
 	for i, d := range ours.Dependencies {
 		way := compose.Dial(ctx, compose.Dependency(d), int64(i), log, counts.Saw, owner.Nudge, &over)
@@ -101,7 +101,7 @@
 
 type flatTask struct {
 	id      string
-	kind    own.Type
+	kind    config.Type
 	body    []byte
 	settled []bool
 	good    []bool
@@ -118,7 +118,7 @@
 // flatComposer makes every call whose predecessors are settled, waits for each the same time, and tries again.
 type flatComposer struct {
 	owner *server.Server
-	types map[string]own.Type
+	types map[string]config.Type
 	ways  []compose.Transport
 	tasks map[string]*flatTask
 	open  map[*compose.Sent]flatCall
--- a/cmd/quartzpoint/check.go
+++ b/cmd/quartzpoint/check.go
@@ -8,15 +8,15 @@
 	"path/filepath"
 	"time"
 
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/exchange"
 	"quartzpoint/internal/folder"
-	"quartzpoint/internal/own"
 )
 
 // checking is the command that reads what serving would be told.
 type checking struct {
-	File string `arg:"" optional:"" env:"EDGE_CONFIG" help:"The platform's configuration (JSON)."`
-	Own  string `placeholder:"FILE" help:"The product's own file (TOML)."`
+	File   string `arg:"" optional:"" env:"EDGE_CONFIG" help:"The platform's configuration (JSON)."`
+	Config string `name:"config" aliases:"own" placeholder:"FILE" help:"The product's own file (TOML)."`
 }
 
 // Run prints every fault, or that there is none.
@@ -27,8 +27,8 @@
 		s, err := told(cmd.File)
 		faults, whole = append(faults, err), s.types
 	}
-	if cmd.Own != "" {
-		ours, err := own.Read(cmd.Own)
+	if cmd.Config != "" {
+		ours, err := config.Read(cmd.Config)
 		faults = append(faults, err)
 		if err == nil && whole != nil {
 			_, err := plans(ours, whole)
@@ -47,8 +47,8 @@
 			faults = append(faults, err)
 		}
 	}
-	if cmd.File == "" && cmd.Own == "" {
-		return errors.New("nothing to check: name a FILE, set EDGE_CONFIG, or use --own")
+	if cmd.File == "" && cmd.Config == "" {
+		return errors.New("nothing to check: name a FILE, set EDGE_CONFIG, or use --config")
 	}
 	if err := errors.Join(faults...); err != nil {
 		return err
--- a/cmd/quartzpoint/dependencies.go
+++ b/cmd/quartzpoint/dependencies.go
@@ -13,9 +13,9 @@
 	"quartzpoint/budget"
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/compose"
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/control"
 	"quartzpoint/internal/leasing"
-	"quartzpoint/internal/own"
 	"quartzpoint/internal/server"
 )
 
@@ -24,7 +24,7 @@
 // composing starts what makes tasks of calls, and the socket by which operators ask about it. What is not stated
 // is not there. Both end with the context.
 func composing(
-	ctx context.Context, ours *own.Own, memory int, seed int64, owner *server.Server, keeper *leasing.Keeper,
+	ctx context.Context, ours *config.Config, memory int, seed int64, owner *server.Server, keeper *leasing.Keeper,
 	counts *check.Counts, log *slog.Logger,
 ) error {
 	var composer *compose.Composer
@@ -74,7 +74,7 @@
 }
 
 // plans are the types' plans, checked against the time that the platform's configuration gives a task of each.
-func plans(ours *own.Own, whole map[string]time.Duration) (types []compose.Type, err error) {
+func plans(ours *config.Config, whole map[string]time.Duration) (types []compose.Type, err error) {
 	var faults []error
 	for _, t := range ours.Types {
 		plan := t.Plan()
@@ -96,7 +96,7 @@
 }
 
 // timeLine prints a plan for its operators.
-func timeLine(to io.Writer, t own.Type, dependencies []own.Dependency, whole time.Duration) error {
+func timeLine(to io.Writer, t config.Type, dependencies []config.Dependency, whole time.Duration) error {
 	plan := t.Plan()
 	if err := plan.Check(len(dependencies), whole); err != nil {
 		return fmt.Errorf("types.%s: %w", t.Name, err)
--- a/cmd/quartzpoint/lease.go
+++ b/cmd/quartzpoint/lease.go
@@ -7,14 +7,14 @@
 	"text/tabwriter"
 	"time"
 
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/control"
 	"quartzpoint/internal/leasing"
-	"quartzpoint/internal/own"
 )
 
 // leaseKeeper makes the keeper of the duties that [lease] names, or none where it names none. Its name in the
 // fleet is its address for peers, which no other server has.
-func leaseKeeper(ours *own.Own, seed int64, log *slog.Logger) (*leasing.Keeper, error) {
+func leaseKeeper(ours *config.Config, seed int64, log *slog.Logger) (*leasing.Keeper, error) {
 	if ours.Lease == nil {
 		return nil, nil
 	}
--- a/cmd/quartzpoint/peers.go
+++ b/cmd/quartzpoint/peers.go
@@ -12,15 +12,15 @@
 	"time"
 
 	"quartzpoint/internal/check"
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/exchange"
-	"quartzpoint/internal/own"
 	"quartzpoint/internal/server"
 	"quartzpoint/knowledge"
 )
 
 // exchanging is a server's part in the exchange of knowledge; the zero value is none.
 type exchanging struct {
-	stated *own.Peers
+	stated *config.Peers
 	giver  *exchange.Giver
 }
 
@@ -35,7 +35,7 @@
 // begin takes the part that is stated: it gives where listen is, and asks where peers are. Both end with the
 // context. What the server learns goes to peers and to kept, which may be nil.
 func begin(
-	ctx context.Context, stated *own.Peers, owner *server.Server, k *keeping, seed int64, counts *check.Counts, log *slog.Logger,
+	ctx context.Context, stated *config.Peers, owner *server.Server, k *keeping, seed int64, counts *check.Counts, log *slog.Logger,
 ) (*exchanging, error) {
 	e := &exchanging{stated: stated}
 	if stated == nil {
--- a/cmd/quartzpoint/peers_test.go
+++ b/cmd/quartzpoint/peers_test.go
@@ -45,7 +45,7 @@
 		says []string
 	}{
 		{[]string{"--help"}, "", 0, []string{"EDGE_CONFIG", "check", "peer show", "Exit codes"}},
-		{[]string{"serve", "--help"}, "", 0, []string{"--own"}},
+		{[]string{"serve", "--help"}, "", 0, []string{"--config"}},
 		{[]string{"peer", "show", "--help"}, "", 0, []string{"--key-file"}},
 		{[]string{"version"}, "", 0, []string{"quartzpoint", "go1."}},
 		{nil, "", 1, []string{"EDGE_CONFIG names no configuration"}},
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"quartzpoint/internal/check"
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/front"
 	"quartzpoint/internal/membership"
-	"quartzpoint/internal/own"
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/server"
 )
@@ -30,7 +30,7 @@
 
 // serving is the command that serves.
 type serving struct {
-	Own string `placeholder:"FILE" help:"The product's own file (TOML). Without it all that is set there is off."`
+	Config string `name:"config" aliases:"own" placeholder:"FILE" help:"The product's own file (TOML). Without it all that is set there is off."`
 }
 
 // limitMemory has the runtime keep to its part of the memory. Of little memory that is less than it takes at rest; there
@@ -51,9 +51,9 @@
 	signal.Notify(notice, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(anew, syscall.SIGHUP)
 	s, err := told(os.Getenv("EDGE_CONFIG"))
-	ours := &own.Own{}
-	if cmd.Own != "" {
-		read, fault := own.Read(cmd.Own)
+	ours := &config.Config{}
+	if cmd.Config != "" {
+		read, fault := config.Read(cmd.Config)
 		ours, err = read, errors.Join(err, fault)
 	}
 	if err != nil {
@@ -81,7 +81,7 @@
 	defer cancel()
 	keeper, err := leaseKeeper(ours, seed, log)
 	if err != nil {
-		return fmt.Errorf("own file %s: %w", cmd.Own, err)
+		return fmt.Errorf("configuration file %s: %w", cmd.Config, err)
 	}
 	err = composing(ctx, ours, s.Limits.megabytes()<<20, seed, owner, keeper, counts, log)
 	if err != nil {
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return s, fmt.Errorf("configuration: %w", err)
 	}
-	c := config{path: path}
+	c := platformFile{path: path}
 	if err := json.Unmarshal(raw, &c.keys); err != nil {
 		return s, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -95,29 +95,29 @@
 	return s, errors.Join(c.faults...)
 }
 
-// config is the file's text by key, and what is wrong with it.
-type config struct {
+// platformFile is the file's text by key, and what is wrong with it.
+type platformFile struct {
 	path   string
 	keys   map[string]json.RawMessage
 	faults []error
 }
 
-func (c *config) fault(key, words string, of ...any) {
+func (c *platformFile) fault(key, words string, of ...any) {
 	c.faults = append(c.faults, fmt.Errorf("configuration %s: %s: %s", c.path, key, fmt.Sprintf(words, of...)))
 }
 
-func (c *config) missing(key, wanted string) {
+func (c *platformFile) missing(key, wanted string) {
 	c.faults = append(c.faults, fmt.Errorf("configuration %s: %s is missing: %s", c.path, key, wanted))
 }
 
 // states tells whether the file says anything under a key.
-func (c *config) states(key string) bool {
+func (c *platformFile) states(key string) bool {
 	raw, stated := c.keys[key]
 	return stated && string(raw) != "null" && string(raw) != `""`
 }
 
 // text is the text under a key, where no variable wins over it.
-func (c *config) text(key, variable string) (text string) {
+func (c *platformFile) text(key, variable string) (text string) {
 	if variable != "" && os.Getenv(variable) != "" {
 		return os.Getenv(variable)
 	}
@@ -131,7 +131,7 @@
 
 // address sees that a text is a host and a port. Whether anybody is there, or the name known yet, is not asked: that
 // comes and goes, and is waited for.
-func (c *config) address(key, text string, dialed bool) {
+func (c *platformFile) address(key, text string, dialed bool) {
 	if text == "" {
 		return // text said so
 	}
@@ -147,11 +147,11 @@
 }
 
 // positive is the number under a key, which may stand within that of an object.
-func (c *config) positive(path string) (number float64) {
+func (c *platformFile) positive(path string) (number float64) {
 	within, key, nested := strings.Cut(path, ".")
 	of := c
 	if nested {
-		of = &config{}
+		of = &platformFile{}
 		if c.states(within) && json.Unmarshal(c.keys[within], &of.keys) != nil {
 			c.fault(path, "%s is no object", within)
 			return 0
@@ -170,7 +170,7 @@
 }
 
 // settings reads the settings and sees that a server could be made for them.
-func (c *config) settings(s *start) {
+func (c *platformFile) settings(s *start) {
 	if !c.states("settings") {
 		c.missing("settings", "an object")
 		return
--- a/cmd/quartzpoint/state.go
+++ b/cmd/quartzpoint/state.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"quartzpoint/internal/check"
+	"quartzpoint/internal/config"
 	"quartzpoint/internal/folder"
-	"quartzpoint/internal/own"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/store"
 	"quartzpoint/knowledge"
@@ -29,7 +29,7 @@
 }
 
 // keep opens the folder that is stated, and has the server go on from what it holds.
-func keep(stated *own.State, owner *server.Server, counts *check.Counts, log *slog.Logger) (*keeping, error) {
+func keep(stated *config.State, owner *server.Server, counts *check.Counts, log *slog.Logger) (*keeping, error) {
 	k := &keeping{}
 	k.frame = owner.Share(store.DrawID(), func(v knowledge.View, at time.Duration) {
 		for _, put := range k.share {
--- a/internal/own/own.go
+++ b/internal/config/config.go
@@ -1,7 +1,7 @@
-// Package own reads the product's own file: TOML, a section for each subsystem, all optional. What is absent
+// Package config reads the product's configuration file: TOML, a section for each subsystem, all optional. What is absent
 // leaves its subsystem off. Every fault of a file is found at once and told with file, line, key, value and
 // what is allowed.
-package own
+package config
 
 import (
 	"errors"
@@ -21,8 +21,8 @@
 
 const mostFile = 1 << 20 // bytes; a larger one is not what was meant
 
-// Own is what the file states.
-type Own struct {
+// Config is what the file states.
+type Config struct {
 	Peers        *Peers // nil: no exchange of knowledge
 	Control      string // path of the socket that operators ask; empty: none
 	Dependencies []Dependency
@@ -53,23 +53,23 @@
 }
 
 // Read reads a file whole. The error joins all faults.
-func Read(path string) (*Own, error) {
+func Read(path string) (*Config, error) {
 	about, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("own file: %w", err)
+		return nil, fmt.Errorf("configuration file: %w", err)
 	}
 	if about.Size() > mostFile {
-		return nil, fmt.Errorf("own file %s: %d bytes, %d at most", path, about.Size(), mostFile)
+		return nil, fmt.Errorf("configuration file %s: %d bytes, %d at most", path, about.Size(), mostFile)
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("own file: %w", err)
+		return nil, fmt.Errorf("configuration file: %w", err)
 	}
 	return Parse(path, raw)
 }
 
 // Parse reads the text of a file.
-func Parse(path string, raw []byte) (*Own, error) {
+func Parse(path string, raw []byte) (*Config, error) {
 	var values map[string]any
 	if err := toml.Unmarshal(raw, &values); err != nil {
 		var at *toml.DecodeError
@@ -77,32 +77,32 @@
 			line, column := at.Position()
 			return nil, &Fault{File: path, Line: line, Key: fmt.Sprintf("column %d", column), Allowed: at.Error()}
 		}
-		return nil, fmt.Errorf("own file %s: %w", path, err)
+		return nil, fmt.Errorf("configuration file %s: %w", path, err)
 	}
 	r := &reader{file: path, lines: lines(raw)}
-	own := &Own{}
+	c := &Config{}
 	top := r.section("", values)
 	if peers := top.below("peers"); peers != nil {
-		own.Peers = readPeers(peers)
+		c.Peers = readPeers(peers)
 	}
 	if control := top.below("control"); control != nil {
-		own.Control = control.text("socket", "", "a path is allowed", func(t string) bool { return t != "" })
+		c.Control = control.text("socket", "", "a path is allowed", func(t string) bool { return t != "" })
 		control.end()
 	}
 	if dependencies := top.below("dependencies"); dependencies != nil {
-		own.Dependencies = readDependencies(dependencies)
+		c.Dependencies = readDependencies(dependencies)
 	}
 	if types := top.below("types"); types != nil {
-		own.Types = readTypes(types, own.Dependencies)
+		c.Types = readTypes(types, c.Dependencies)
 	}
 	if state := top.below("state"); state != nil {
-		own.State = readState(state)
+		c.State = readState(state)
 	}
 	if pools := top.below("pools"); pools != nil {
-		own.Pools = readPools(pools)
+		c.Pools = readPools(pools)
 	}
 	if lease := top.below("lease"); lease != nil {
-		own.Lease = readLease(lease, own.Peers)
+		c.Lease = readLease(lease, c.Peers)
 	}
 	top.end()
 	slices.SortStableFunc(r.faults, func(a, b *Fault) int { return a.Line - b.Line })
@@ -113,7 +113,7 @@
 		}
 		return nil, errors.Join(all...)
 	}
-	return own, nil
+	return c, nil
 }
 
 // lines finds the line of each key and table.
--- a/internal/own/peers.go
+++ b/internal/config/peers.go
@@ -1,4 +1,4 @@
-package own
+package config
 
 import (
 	"slices"
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -51,7 +51,7 @@
 const startWait = 10 * time.Second
 
 // Start starts a program as a server on loopback, and returns once it serves and its pool is bound. own is the
-// text of its own file; empty for none.
+// text of its configuration file; empty for none.
 func Start(program, folder, name string, types []Type, m Machine, own string) (d *Daemon, err error) {
 	return StartAs(program, []string{"serve"}, folder, name, types, m, own)
 }
@@ -61,7 +61,7 @@
 	return StartAs(program, nil, folder, name, types, m, "")
 }
 
-// StartAs does the same with other arguments before the own file's.
+// StartAs does the same with other arguments before the configuration file's.
 func StartAs(program string, as []string, folder, name string, types []Type, m Machine, own string) (d *Daemon, err error) {
 	d = &Daemon{log: &LogText{}, gone: make(chan error, 1)}
 	defer func() {
@@ -90,7 +90,7 @@
 	if own != "" {
 		file := filepath.Join(folder, name+".toml")
 		if err := os.WriteFile(file, []byte(own), 0o600); err != nil {
-			return d, fmt.Errorf("own file: %w", err)
+			return d, fmt.Errorf("configuration file: %w", err)
 		}
 		args = append(slices.Clone(as), "--own", file)
 	}
