--- a/cmd/adapter/instance.go
+++ b/cmd/adapter/instance.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"quartzpoint/choice"
-	"quartzpoint/internal/terms"
+	"quartzpoint/internal/settings"
 	"quartzpoint/internal/wire"
 )
 
@@ -18,29 +18,29 @@
 
 // instance is one app server: its module, the ids of its tasks, and the writer of its decisions.
 type instance struct {
-	who     uint16
-	module  *choice.Choice
-	terms   *terms.Terms
-	tasks   map[uint64]*entry
-	ids     map[*choice.Task]uint64
-	round   choice.Round
-	reading choice.Gauges
-	touched bool
-	reply   *wire.Reply
+	who      uint16
+	module   *choice.Choice
+	settings *settings.Settings
+	tasks    map[uint64]*entry
+	ids      map[*choice.Task]uint64
+	round    choice.Round
+	reading  choice.Gauges
+	touched  bool
+	reply    *wire.Reply
 }
 
 func newInstance(who uint16, seed uint64, info string, reply *wire.Reply) (*instance, error) {
-	told, err := terms.FromLines(info)
+	told, err := settings.FromLines(info)
 	if err != nil {
 		return nil, err
 	}
 	return &instance{
-		who:    who,
-		module: choice.New(told.Values, int64(seed)),
-		terms:  told,
-		tasks:  map[uint64]*entry{},
-		ids:    map[*choice.Task]uint64{},
-		reply:  reply,
+		who:      who,
+		module:   choice.New(told.Values, int64(seed)),
+		settings: told,
+		tasks:    map[uint64]*entry{},
+		ids:      map[*choice.Task]uint64{},
+		reply:    reply,
 	}, nil
 }
 
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -199,7 +199,7 @@
 	for i := range count {
 		readings[i] = r.F32(8 + 4*i)
 	}
-	in.terms.Gauges(&in.reading, readings[:count])
+	in.settings.Gauges(&in.reading, readings[:count])
 	in.round.Gauges = &in.reading
 	return nil
 }
--- a/cmd/qplab/flat.go
+++ b/cmd/qplab/flat.go
@@ -20,7 +20,7 @@
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/runs"
 	"quartzpoint/internal/server"
-	"quartzpoint/internal/terms"
+	"quartzpoint/internal/settings"
 )
 
 const (
@@ -60,7 +60,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	agreed, err := terms.FromJSON(s.Settings)
+	agreed, err := settings.FromJSON(s.Settings)
 	if err != nil {
 		return err
 	}
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -64,7 +64,7 @@
 
 	seed := int64(s.Seed)
 	counts := check.New(log)
-	owner, err := server.New(s.terms, seed, s.bounds(), counts, log)
+	owner, err := server.New(s.settings, seed, s.bounds(), counts, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -19,22 +19,22 @@
 	"quartzpoint/internal/membership"
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/server"
-	"quartzpoint/internal/terms"
+	"quartzpoint/internal/settings"
 )
 
 // start is what the program is told at its start.
 type start struct {
-	Name    string
-	Listen  string
-	Pool    string
-	Members string
-	Index   string // the dependency that runs call, empty where none does
-	Seed    uint64
-	Stop    time.Duration
-	Limits  limits
-	terms   *terms.Terms
-	types   map[string]time.Duration // that a task of each type has
-	agreed  map[string]any           // what the terms say, as asked last
+	Name     string
+	Listen   string
+	Pool     string
+	Members  string
+	Index    string // the dependency that runs call, empty where none does
+	Seed     uint64
+	Stop     time.Duration
+	Limits   limits
+	settings *settings.Settings
+	types    map[string]time.Duration // that a task of each type has
+	agreed   map[string]any           // what the settings say, as asked last
 }
 
 // limits are those of the program itself, as stated. Each may be any number above 0.
@@ -89,7 +89,7 @@
 		}
 	}
 	stop := c.positive("stop_ms")
-	s.Stop = time.Duration(min(stop, float64(terms.MaxSpan/time.Millisecond)) * float64(time.Millisecond))
+	s.Stop = time.Duration(min(stop, float64(settings.MaxSpan/time.Millisecond)) * float64(time.Millisecond))
 	s.Limits = limits{c.positive("limits.cores"), c.positive("limits.memory_mb"), c.positive("limits.sockets")}
 	c.settings(&s)
 	return s, errors.Join(c.faults...)
@@ -175,7 +175,7 @@
 		c.missing("settings", "an object")
 		return
 	}
-	agreed, err := terms.FromJSON(c.keys["settings"])
+	agreed, err := settings.FromJSON(c.keys["settings"])
 	if err == nil {
 		err = agreed.Lacks()
 	}
@@ -194,7 +194,7 @@
 		c.faults = append(c.faults, fmt.Errorf("configuration %s: settings: %w", c.path, err))
 		return
 	}
-	s.terms, s.types = agreed, made.Types()
+	s.settings, s.types = agreed, made.Types()
 	s.agreed = maps.Clone(agreed.Values) // the owner writes its own when settings move
 }
 
@@ -232,7 +232,7 @@
 }
 
 // again reads the configuration anew, sees that the whole of it could be started with, and then applies what
-// can change while tasks run: the two addresses, the time to the stop, and the settings that terms.Moves
+// can change while tasks run: the two addresses, the time to the stop, and the settings that settings.Moves
 // names, which the owner takes in its turn. It gives what is in force from then on; a file that is missing,
 // half written or wrong changes nothing.
 func (s start) again(link *pool.Link, calls *dependency.Caller, reporter *membership.Reporter, owner *server.Server,
@@ -254,7 +254,7 @@
 		index = n.Index
 		calls.Move(index)
 	}
-	moved, settings := terms.Moves(s.agreed, n.agreed)
+	moved, settings := settings.Moves(s.agreed, n.agreed)
 	var fixed []string
 	for _, key := range []struct {
 		name   string
--- a/gate.go
+++ b/gate.go
@@ -28,8 +28,8 @@
 
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/server"
+	"quartzpoint/internal/settings"
 	"quartzpoint/internal/store"
-	"quartzpoint/internal/terms"
 	"quartzpoint/knowledge"
 )
 
@@ -187,7 +187,7 @@
 		g.shares[c.Name] = i
 	}
 	g.good.Store(true)
-	g.owner, err = server.New(terms.Of(values, "core_use", "on_cores", "heap_share", "links"), t.Seed, server.Limits{
+	g.owner, err = server.New(settings.Of(values, "core_use", "on_cores", "heap_share", "links"), t.Seed, server.Limits{
 		MemoryMB: t.MemoryMB, Numbers: true, Customers: true, Calls: true, Omits: true, RunsStay: true, Spins: spins,
 	}, g.counts, t.Log)
 	if err != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -21,8 +21,8 @@
 	"quartzpoint/internal/frame"
 	"quartzpoint/internal/pool"
 	"quartzpoint/internal/server"
+	"quartzpoint/internal/settings"
 	"quartzpoint/internal/standin"
-	"quartzpoint/internal/terms"
 )
 
 // bench is a front with a server behind it and a stand-in pool behind that.
@@ -38,7 +38,7 @@
 // newBenchAt makes one for a site, whose listener may stand behind a gate.
 func newBenchAt(t testing.TB, limits server.Limits, site string, gated func(netpoll.Listener) netpoll.Listener) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	told, err := terms.FromJSON([]byte(site))
+	told, err := settings.FromJSON([]byte(site))
 	require.NoError(t, err)
 	counts := check.New(log)
 	owner, err := server.New(told, 1, limits, counts, log)
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -59,9 +59,9 @@
 
 // longest is the longest time that callers may be asked to stay away for, 0 where they may not be asked.
 func (s *Server) longest() time.Duration {
-	if asks, _ := s.terms.Values["come-back"].(bool); !asks {
+	if asks, _ := s.settings.Values["come-back"].(bool); !asks {
 		return 0
 	}
-	most, _ := s.terms.Values["come-back-most"].(time.Duration)
+	most, _ := s.settings.Values["come-back-most"].(time.Duration)
 	return most
 }
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -15,7 +15,7 @@
 	}
 	now := min(came, s.Now())
 	s.noticed, s.stop = now, now+within-noticeDelay
-	grace, _ := s.terms.Values["grace"].(time.Duration)
+	grace, _ := s.settings.Values["grace"].(time.Duration)
 	s.retire = max(now, min(now+grace, s.stop-lastOrders))
 	s.round.StopAt, s.round.Noticed = s.stop, s.noticed
 	s.touched = true
--- a/internal/server/retune_test.go
+++ b/internal/server/retune_test.go
@@ -42,7 +42,7 @@
 	unstated := make(chan bool)
 	b.Post(func() {
 		b.Retune(map[string]any{"halt": nil}) // no longer stated: as at a start without it
-		_, inTerms := b.terms.Values["halt"]
+		_, inTerms := b.settings.Values["halt"]
 		_, inModule := b.values["halt"]
 		unstated <- !inTerms && !inModule
 	})
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -16,7 +16,7 @@
 	case runs.Polled:
 		s.polled = n.Nonce
 		s.resume(n.Nonce)
-		s.terms.Gauges(&s.gauges, n.Readings)
+		s.settings.Gauges(&s.gauges, n.Readings)
 		s.fresh = s.fresh || s.asked > 0 && n.Nonce >= s.asked
 	case runs.Finished:
 		s.finished(n)
@@ -128,7 +128,7 @@
 	slices.SortFunc(open, func(a, b *Task) int {
 		return cmp.Or(cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.id, b.id))
 	})
-	pauses := s.terms.Values["halt"] == "suspend"
+	pauses := s.settings.Values["halt"] == "suspend"
 	for _, t := range open {
 		switch {
 		case t.waits: // for the ledger, and was never sent
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,7 +16,7 @@
 	"quartzpoint/choice"
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/runs"
-	"quartzpoint/internal/terms"
+	"quartzpoint/internal/settings"
 	"quartzpoint/knowledge"
 )
 
@@ -52,12 +52,12 @@
 // Server turns events into rounds. Its methods are for its one owner, the goroutine that is in Run, but for
 // Post, Nudge, Leave, Now and Customer.
 type Server struct {
-	module *choice.Choice
-	terms  *terms.Terms
-	values map[string]any // the module's own copy of the terms, which it reads at each decision
-	types  map[string]*choice.TrafficType
-	link   Pool
-	parts  Composer // of tasks that are made of calls
+	module   *choice.Choice
+	settings *settings.Settings
+	values   map[string]any // the module's own copy of the settings, which it reads at each decision
+	types    map[string]*choice.TrafficType
+	link     Pool
+	parts    Composer // of tasks that are made of calls
 
 	dependency Dependency      // of the pool's runs, nil without one
 	blocking   Blocking        // the pool, where they stand at calls of it
@@ -123,11 +123,11 @@
 	retired bool
 }
 
-// New makes the server for its terms. Terms that ask for what it can't do are an error: a task must not be
+// New makes the server for its settings. Settings that ask for what it can't do are an error: a task must not be
 // found unservable only once it has been read.
-func New(told *terms.Terms, seed int64, limits Limits, counts *check.Counts, log *slog.Logger) (*Server, error) {
+func New(told *settings.Settings, seed int64, limits Limits, counts *check.Counts, log *slog.Logger) (*Server, error) {
 	s := &Server{
-		terms: told, counts: counts, log: log, began: time.Now(), limits: limits,
+		settings: told, counts: counts, log: log, began: time.Now(), limits: limits,
 		spent: map[string]time.Duration{}, customers: map[string]int{},
 		numbers: map[string]*number{}, mayKeep: limits.MemoryMB << 20 / numberShare,
 		// What the site's own memory holds of numbers, the decisions bound; that is stated with the settings, as any figure.
@@ -217,7 +217,7 @@
 	return all
 }
 
-// Customer is the place of a customer in the terms. One they do not name is nobody's: it has no share, and takes of none.
+// Customer is the place of a customer in the settings. One they do not name is nobody's: it has no share, and takes of none.
 func (s *Server) Customer(name string) int {
 	if place, known := s.customers[name]; known {
 		return place
@@ -227,11 +227,11 @@
 
 // TellsGone is whether routers say when nobody waits for a task any longer.
 func (s *Server) TellsGone() bool {
-	tells, _ := s.terms.Values["tells-gone"].(bool)
+	tells, _ := s.settings.Values["tells-gone"].(bool)
 	return tells
 }
 
-// Adopt gives a name that the terms do not state one of the types that they state for strangers, whose names begin
+// Adopt gives a name that the settings do not state one of the types that they state for strangers, whose names begin
 // with a NUL byte; where all are given away, tasks of the name are dismissed.
 func (s *Server) Adopt(name string) {
 	if s.types[name] != nil {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -16,8 +16,8 @@
 
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/pool"
+	"quartzpoint/internal/settings"
 	"quartzpoint/internal/standin"
-	"quartzpoint/internal/terms"
 )
 
 // answered is what a caller was told on a stream.
@@ -56,7 +56,7 @@
 
 func newBenchWith(t *testing.T, site string, limits Limits, on Dependency) *bench {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	told, err := terms.FromJSON([]byte(site))
+	told, err := settings.FromJSON([]byte(site))
 	require.NoError(t, err)
 	b := &bench{
 		pool: standin.NewPool(t), counts: check.New(log), left: make(chan struct{}),
@@ -468,7 +468,7 @@
 		"no traffic type": {`"name":`, `"title":`},
 	}
 	for want, change := range cases {
-		told, err := terms.FromJSON([]byte(strings.ReplaceAll(standin.Site, change[0], change[1])))
+		told, err := settings.FromJSON([]byte(strings.ReplaceAll(standin.Site, change[0], change[1])))
 		require.NoError(t, err)
 		_, err = New(told, 1, Limits{MemoryMB: 96, Sockets: 256}, nil, nil)
 		assert.ErrorContains(t, err, want)
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -108,7 +108,7 @@
 // is returned for it.
 func (s *Server) Take(a Asked) *Task {
 	kind := s.types[a.Type]
-	due, _ := s.terms.Values["tells-due"].(bool)
+	due, _ := s.settings.Values["tells-due"].(bool)
 	switch {
 	case kind == nil:
 		s.counts.Saw("task of an unknown type")
--- a/internal/terms/bounds.go
+++ b/internal/settings/bounds.go
@@ -1,4 +1,4 @@
-package terms
+package settings
 
 import (
 	"errors"
@@ -62,7 +62,7 @@
 }
 
 // Lacks joins what a server can't do without and the settings do not state, or state twice.
-func (t *Terms) Lacks() error {
+func (t *Settings) Lacks() error {
 	var faults []error
 	types, _ := t.Values["types"].(float64)
 	if types == 0 {
--- a/internal/terms/moving.go
+++ b/internal/settings/moving.go
@@ -1,4 +1,4 @@
-package terms
+package settings
 
 import (
 	"maps"
--- a/internal/terms/terms.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,6 @@
-// Package terms turns the settings a server is started under into the names and values that its decisions
+// Package settings turns the settings a server is started under into the names and values that its decisions
 // know. One table serves the flat lines of the simulator's wire and the nested JSON of a configuration.
-package terms
+package settings
 
 import (
 	"bytes"
@@ -103,19 +103,19 @@
 
 var repeats = map[string]string{"retryable": "reissuable", "dedup": "numbered", "fragile": "at-most-once"}
 
-// Terms are the settings in our words, and the server's gauges in the order in which readings come.
-type Terms struct {
+// Settings are the settings in our words, and the server's gauges in the order in which readings come.
+type Settings struct {
 	Values map[string]any
 	gauges []string
 }
 
-// Of are terms that are stated in our words already, with the gauges in the order in which readings come, each by
+// Of are settings that are stated in our words already, with the gauges in the order in which readings come, each by
 // its name in the settings.
-func Of(values map[string]any, gauges ...string) *Terms { return &Terms{values, gauges} }
+func Of(values map[string]any, gauges ...string) *Settings { return &Settings{values, gauges} }
 
 // FromLines reads the flat form: a line for each setting, its path and its value parted by "=".
-func FromLines(info string) (*Terms, error) {
-	r := reader{terms: &Terms{Values: map[string]any{}}}
+func FromLines(info string) (*Settings, error) {
+	r := reader{settings: &Settings{Values: map[string]any{}}}
 	for line := range strings.SplitSeq(info, "\n") {
 		if name, value, found := strings.Cut(strings.TrimSpace(line), "="); found {
 			r.take(name, value)
@@ -124,11 +124,11 @@
 	if len(r.faults) > 0 {
 		return nil, errors.Join(r.faults...)
 	}
-	return r.terms, nil
+	return r.settings, nil
 }
 
 // FromJSON reads the nested form. The error joins all faults: what can't be read, and what is out of range.
-func FromJSON(raw []byte) (*Terms, error) {
+func FromJSON(raw []byte) (*Settings, error) {
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber() // a span of microseconds stays the whole number it was written as
 	var tree any
@@ -138,19 +138,19 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return nil, fmt.Errorf("settings: more than one JSON value")
 	}
-	r := reader{terms: &Terms{Values: map[string]any{}}, strict: true}
+	r := reader{settings: &Settings{Values: map[string]any{}}, strict: true}
 	r.walk("", tree)
 	if len(r.faults) > 0 {
 		return nil, errors.Join(r.faults...)
 	}
-	return r.terms, nil
+	return r.settings, nil
 }
 
 // reader files settings and keeps what is wrong with them.
 type reader struct {
-	terms  *Terms
-	strict bool // a value out of range is a fault. The simulator's own lines are taken as they come
-	faults []error
+	settings *Settings
+	strict   bool // a value out of range is a fault. The simulator's own lines are taken as they come
+	faults   []error
 }
 
 func (r *reader) fault(name, words string, of ...any) {
@@ -209,7 +209,7 @@
 // take files one setting. Those the tables don't know are passed over.
 func (r *reader) take(name, value string) {
 	if name == "extra.gauges" {
-		r.terms.gauges = strings.Split(value, ",")
+		r.settings.gauges = strings.Split(value, ",")
 		return
 	}
 	if w, known := plain[name]; known {
@@ -235,7 +235,7 @@
 
 // Gauges puts readings, in the order that the settings name, under our names. Where fewer come than were
 // named, the rest keep what they had.
-func (t *Terms) Gauges(into *choice.Gauges, readings []float64) {
+func (t *Settings) Gauges(into *choice.Gauges, readings []float64) {
 	for i, name := range t.gauges[:min(len(readings), len(t.gauges))] {
 		switch name {
 		case "core_use":
@@ -295,5 +295,5 @@
 		r.fault(name, "%s is %s", value, why)
 		return
 	}
-	r.terms.Values[ours] = filed
+	r.settings.Values[ours] = filed
 }
