--- a/gate.go
+++ b/gate.go
@@ -485,7 +485,8 @@
 	return Counts{g.taken.Load(), g.honoured.Load(), g.dismissed.Load(), g.givenUp.Load(), g.gone.Load(), g.late.Load()}
 }
 
-// CloseIdle, like the methods below it, is for the owner of decisions: the gate is its front.
+// CloseIdle does nothing: a gate has no connections. Like the methods below it, it is for the owner of decisions, whose
+// front the gate is.
 func (g *Gate) CloseIdle(time.Duration) {}
 
 // Flush is called behind each round.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -264,7 +264,6 @@
 // Router is one connection of a router.
 type Router struct {
 	net.Conn
-	calls int
 }
 
 // Reply is a frame that a server wrote.
