--- a/cmd/qplab/main.go
+++ b/cmd/qplab/main.go
@@ -15,6 +15,8 @@
 	Child      stateChild    `cmd:"" name:"state-child" hidden:"" help:"The process that measure state kills."`
 	Drill      playing       `cmd:"" help:"Play a drill on an emulated fleet, in simulated time."`
 	Experiment experimenting `cmd:"" help:"Run drills by policies by seeds, and write tables, charts and a report."`
+	Hollow     hollow        `cmd:"" hidden:"" help:"Hold a part of a hollow fleet; scale starts it."`
+	Scale      scaling       `cmd:"" help:"Measure what the programs cost up to the planned size, and write points and charts."`
 	Workers    emulating     `cmd:"" help:"Play, in real time, the worker pools, dependencies and membership of a drill, for real daemons."`
 	Load       loading       `cmd:"" help:"Play a load, drawn or captured, against a server's frames or an http URL."`
 	Measure    measuring     `cmd:"" help:"Run a measurement; it ends with code 1 where an aim is missed."`
--- a/internal/exchange/asker.go
+++ b/internal/exchange/asker.go
@@ -42,10 +42,9 @@
 func meet[T any](ctx context.Context, address string, a *asks, step func(message) ([]byte, *T, error)) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, talkWait)
 	defer cancel()
-	var dialer net.Dialer
-	link, err := dialer.DialContext(ctx, "tcp", address)
+	link, err := dial(ctx, address)
 	if err != nil {
-		return nil, fmt.Errorf("peer: %w", err)
+		return nil, err
 	}
 	defer link.Close()
 	defer context.AfterFunc(ctx, func() { link.Close() })() // a talk waits for no peer past its end
@@ -59,6 +58,29 @@
 	return got, nil
 }
 
+// localKey finds the address to dial from in a context.
+type localKey struct{}
+
+// WithLocal has talks of a context begin at an address of this machine: one host then plays many, as each is known by
+// its address.
+func WithLocal(ctx context.Context, address net.Addr) context.Context {
+	return context.WithValue(ctx, localKey{}, address)
+}
+
+// dial opens a connection whose bytes are counted.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	if local, stated := ctx.Value(localKey{}).(net.Addr); stated {
+		dialer.LocalAddr = local
+	}
+	link, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	total.asked.Add(1)
+	return countedConn{link}, nil
+}
+
 // converse reads frames and hands each to step until it has what it waits for.
 func converse[T any](link net.Conn, step func(message) ([]byte, *T, error)) (*T, error) {
 	var read []byte
--- a/internal/exchange/giver.go
+++ b/internal/exchange/giver.go
@@ -210,6 +210,7 @@
 		out: outbox.New(mostSent), talk: gives{nonce: make([]byte, nonceSize)},
 	}
 	_, _ = rand.Read(c.talk.nonce) // never fails
+	total.answered.Add(1)
 	_ = link.AddCloseCallback(c.ended)
 	g.Post(c.join)
 	return context.WithValue(poller.Context(g), connKey{}, c)
@@ -300,6 +301,7 @@
 		c.fail("peer closed: sends more than a talk has")
 		return
 	}
+	total.received.Add(int64(len(raw)))
 	c.part = append(c.part, raw...)
 	for !c.dead {
 		m, rest, ok, err := cut(c.part)
@@ -323,14 +325,25 @@
 			c.talk.ballot = nil
 			out = c.vote(ballot)
 		}
-		if err := c.out.Add(out...); err != nil {
-			c.fail("peer closed: does not read")
+		if !c.send(out...) {
 			return
 		}
-		c.flush()
 	}
 }
 
+// send queues frames and writes what the connection takes; false where the peer does not read.
+func (c *conn) send(frames ...[]byte) bool {
+	for _, frame := range frames {
+		total.sent.Add(int64(len(frame)))
+	}
+	if err := c.out.Add(frames...); err != nil {
+		c.fail("peer closed: does not read")
+		return false
+	}
+	c.flush()
+	return true
+}
+
 // vote hands a ballot to the voter; its answer is written in the giver's turn, if the talk is still there.
 func (c *conn) vote(ballot []byte) [][]byte {
 	vote := c.giver.voter.Load()
@@ -342,11 +355,7 @@
 			if c.dead || len(answer) == 0 || len(answer) > mostBallot {
 				return
 			}
-			if err := c.out.Add(c.talk.voted(answer)); err != nil {
-				c.fail("peer closed: does not read")
-				return
-			}
-			c.flush()
+			c.send(c.talk.voted(answer))
 		})
 	})
 	return nil
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -21,6 +21,7 @@
 type Daemon struct {
 	Address string
 	Peers   string // its address for peers, empty without one
+	Path    string // of its configuration
 	Workers *Workers
 
 	cmd     *exec.Cmd
@@ -62,7 +63,16 @@
 }
 
 // StartAs does the same with other arguments before the configuration file's.
-func StartAs(program string, as []string, folder, name string, types []Type, m Machine, own string) (d *Daemon, err error) {
+func StartAs(program string, as []string, folder, name string, types []Type, m Machine, own string) (*Daemon, error) {
+	return Launch(program, as, folder, name, m, own, func(listen, pool, members string) ([]byte, error) {
+		return Configuration(name, listen, pool, members, types, m)
+	})
+}
+
+// Launch starts a program as a server under the configuration that configured makes for the addresses it is given.
+func Launch(program string, as []string, folder, name string, m Machine, own string,
+	configured func(listen, pool, members string) ([]byte, error),
+) (d *Daemon, err error) {
 	d = &Daemon{log: &LogText{}, gone: make(chan error, 1)}
 	defer func() {
 		if err != nil {
@@ -78,10 +88,10 @@
 	if d.Address, err = FreeAddress(); err != nil {
 		return d, err
 	}
-	path := filepath.Join(folder, name+".json")
-	raw, err := Configuration(name, d.Address, d.Workers.Address, d.members.LocalAddr().String(), types, m)
+	d.Path = filepath.Join(folder, name+".json")
+	raw, err := configured(d.Address, d.Workers.Address, d.members.LocalAddr().String())
 	if err == nil {
-		err = os.WriteFile(path, raw, 0o600)
+		err = os.WriteFile(d.Path, raw, 0o600)
 	}
 	if err != nil {
 		return d, fmt.Errorf("configuration: %w", err)
@@ -95,7 +105,7 @@
 		args = append(slices.Clone(as), "--own", file)
 	}
 	d.cmd = exec.Command(program, args...)
-	d.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_NAME=", "EDGE_LISTEN=")
+	d.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+d.Path, "EDGE_NAME=", "EDGE_LISTEN=")
 	d.cmd.Stderr = d.log
 	if err := d.cmd.Start(); err != nil {
 		d.cmd = nil
@@ -131,6 +141,14 @@
 	return raw, nil
 }
 
+// PID is the server's process id, 0 once it was ended.
+func (d *Daemon) PID() int {
+	if d.cmd == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
 // Log is what the server has logged so far.
 func (d *Daemon) Log() string { return d.log.String() }
 
--- /dev/null
+++ b/internal/scale/fleets.go
@@ -0,0 +1,384 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"quartzpoint/internal/faultnet"
+)
+
+// Series of the hollow fleets.
+const (
+	seriesMemberMessages = "membership messages/s a server by servers"
+	seriesMemberBytes    = "membership bytes/s a server by servers"
+	seriesQuietBytes     = "exchange bytes/s a server, quiet, by servers"
+	seriesQuietCore      = "control core % a server, quiet, by servers"
+	seriesNewcomerBytes  = "exchange bytes of one restart by servers"
+	seriesNewcomerCore   = "control cpu ms of one restart by servers"
+	seriesRestartBytes   = "exchange bytes/s a server by restarts a minute"
+	seriesRestartCore    = "control core % a server by restarts a minute"
+	seriesVoterTalks     = "lease talks/s a voter by voters"
+	seriesVoterBytes     = "lease bytes/s a voter by voters"
+	seriesVoterCore      = "lease core % a voter by voters"
+	seriesDutyTalks      = "lease talks/s a voter by duties"
+	seriesDutyBytes      = "lease bytes/s a voter by duties"
+	seriesDutyCore       = "lease core % a voter by duties"
+	seriesZoneSeconds    = "zone back: seconds until all have a view, by servers back at once"
+	seriesZoneBytes      = "zone back: exchange bytes a server of the fleet, by servers back at once"
+	seriesCutHolders     = "regions cut: most holders at once by seconds of the cut"
+	seriesCutSeconds     = "regions cut: longest seconds without a holder by seconds of the cut"
+	seriesHealSeconds    = "regions cut: seconds from the heal until a duty is held by seconds of the cut"
+)
+
+const (
+	leaseSpan  = 2 * time.Second
+	shortLease = 400 * time.Millisecond
+	someVoters = 5
+	holderPoll = 25 * time.Millisecond
+	cutVoters  = 3 // of someVoters, on one side of a cut
+	healWait   = 20 * time.Second
+)
+
+// Fleets measures hollow fleets.
+type Fleets struct {
+	Program string // that has a command hollow
+	Seed    int64
+	Small   bool // fewer servers and shorter spans
+}
+
+// Run measures everything, one fleet at a time.
+func (f *Fleets) Run(ctx context.Context) (Points, error) {
+	points := Points{}
+	for _, part := range []func(context.Context, Points) error{f.bySize, f.byVoters, f.byDuties, f.cut} {
+		if err := part(ctx, points); err != nil {
+			return points, err
+		}
+	}
+	return points, nil
+}
+
+func (f *Fleets) spec(voters, duties int) HollowSpec {
+	return HollowSpec{Voters: voters, Duties: duties, Lease: f.lease(), Routes: PlannedRoutes, Seed: f.Seed}
+}
+
+// lease is the time of a grant.
+func (f *Fleets) lease() time.Duration {
+	if f.Small {
+		return shortLease
+	}
+	return leaseSpan
+}
+
+func (f *Fleets) span() time.Duration {
+	if f.Small {
+		return time.Second
+	}
+	return 3 * time.Second
+}
+
+// sizes are the numbers of servers that fleets are measured at.
+func (f *Fleets) sizes() []int {
+	if f.Small {
+		return []int{10, 25, 50}
+	}
+	return []int{10, 125, 250, 375, PlannedServers}
+}
+
+// few are the first three of some points where the run is small.
+func (f *Fleets) few(points ...int) []int {
+	if f.Small {
+		return points[:3]
+	}
+	return points
+}
+
+// during gives what a running fleet uses over a span, or over what is done meanwhile where that takes longer.
+func during(fleet *Fleet, span time.Duration, voters int, do func() error) (usage, use, error) {
+	before, err := fleet.use()
+	if err != nil {
+		return usage{}, before, err
+	}
+	end := time.After(span)
+	if do != nil {
+		if err := do(); err != nil {
+			return usage{}, before, err
+		}
+	}
+	<-end
+	after, err := fleet.use()
+	return between(before, after, fleet.servers, voters), after, err
+}
+
+// bySize measures fleets of several sizes: quiet, with restarts, and, the largest, with a zone that comes back at once.
+func (f *Fleets) bySize(ctx context.Context, points Points) error {
+	sizes := f.sizes()
+	for _, servers := range sizes {
+		err := f.with(ctx, servers, f.spec(someVoters, 1), func(fleet *Fleet) error {
+			x := float64(servers)
+			quiet, _, err := during(fleet, f.span(), someVoters, nil)
+			if err != nil {
+				return err
+			}
+			points.Add(seriesMemberMessages, x, quiet.memberMessages)
+			points.Add(seriesMemberBytes, x, quiet.memberBytes)
+			points.Add(seriesQuietBytes, x, quiet.serverBytes)
+			points.Add(seriesQuietCore, x, quiet.serverCore)
+			if err := f.newcomers(ctx, fleet, quiet, points); err != nil {
+				return err
+			}
+			if servers < sizes[len(sizes)-1] {
+				return nil
+			}
+			if err := f.restarts(ctx, fleet, points); err != nil {
+				return err
+			}
+			return f.zone(ctx, fleet, points)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// with runs a measurement on a warm fleet.
+func (f *Fleets) with(ctx context.Context, servers int, spec HollowSpec, measure func(*Fleet) error) (err error) {
+	fleet, err := StartFleet(f.Program, servers, spec)
+	if err != nil {
+		return fmt.Errorf("%d servers: %w", servers, err)
+	}
+	defer func() { err = errors.Join(err, fleet.Stop()) }()
+	if _, err := fleet.Warm(ctx); err != nil {
+		return fmt.Errorf("%d servers: %w", servers, err)
+	}
+	if _, err := fleet.held(ctx, healWait, spec.Duties); err != nil {
+		return fmt.Errorf("%d servers: %w", servers, err)
+	}
+	if err := measure(fleet); err != nil {
+		return fmt.Errorf("%d servers: %w", servers, err)
+	}
+	return nil
+}
+
+// newcomers measures what one restart costs the whole fleet, over what it costs when quiet.
+func (f *Fleets) newcomers(ctx context.Context, fleet *Fleet, quiet usage, points Points) error {
+	const restarted = 4 // one in each process
+	loaded, _, err := during(fleet, f.span(), someVoters, func() error {
+		if err := fleet.Restart(restarted); err != nil {
+			return err
+		}
+		_, err := fleet.Warm(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	servers := float64(fleet.servers)
+	over := loaded.seconds * (servers - someVoters) / restarted
+	points.Add(seriesNewcomerBytes, servers, max(0, loaded.serverBytes-quiet.serverBytes)*over)
+	points.Add(seriesNewcomerCore, servers, max(0, loaded.serverCore-quiet.serverCore)*over*10) // percent to ms a second
+	return nil
+}
+
+// restarts measures a fleet in which servers restart at several rates.
+func (f *Fleets) restarts(ctx context.Context, fleet *Fleet, points Points) error {
+	for _, perMinute := range f.few(0, 60, 120, 240) {
+		used, _, err := during(fleet, f.span(), someVoters, func() error {
+			if perMinute == 0 {
+				return nil
+			}
+			gap := time.Minute / time.Duration(perMinute)
+			for began := time.Now(); time.Since(began)+gap <= f.span() && ctx.Err() == nil; time.Sleep(gap) {
+				if err := fleet.Restart(1); err != nil {
+					return err
+				}
+			}
+			return ctx.Err()
+		})
+		if err != nil {
+			return err
+		}
+		points.Add(seriesRestartBytes, float64(perMinute), used.serverBytes)
+		points.Add(seriesRestartCore, float64(perMinute), used.serverCore)
+	}
+	return nil
+}
+
+// zone has a zone's servers come back at once.
+func (f *Fleets) zone(ctx context.Context, fleet *Fleet, points Points) error {
+	back := min(ZoneServers, fleet.servers/5)
+	before, err := fleet.use()
+	if err != nil {
+		return err
+	}
+	if err := fleet.Restart(back); err != nil {
+		return err
+	}
+	took, err := fleet.Warm(ctx)
+	if err != nil {
+		return err
+	}
+	after, err := fleet.use()
+	if err != nil {
+		return err
+	}
+	used := between(before, after, fleet.servers, someVoters)
+	points.Add(seriesZoneSeconds, float64(back), took.Seconds())
+	points.Add(seriesZoneBytes, float64(back), used.serverBytes*used.seconds)
+	return nil
+}
+
+// byVoters measures fleets in which every server votes and wants one duty.
+func (f *Fleets) byVoters(ctx context.Context, points Points) error {
+	for _, voters := range f.few(3, 5, 10, 20, 40) {
+		err := f.with(ctx, voters, f.spec(voters, 1), func(fleet *Fleet) error {
+			used, _, err := during(fleet, 2*f.span(), voters, nil)
+			points.Add(seriesVoterTalks, float64(voters), used.voterTalks)
+			points.Add(seriesVoterBytes, float64(voters), used.voterBytes)
+			points.Add(seriesVoterCore, float64(voters), used.voterCore)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// byDuties measures a few voters with several duties.
+func (f *Fleets) byDuties(ctx context.Context, points Points) error {
+	for _, duties := range f.few(1, 8, 16, 32, 64) {
+		err := f.with(ctx, someVoters, f.spec(someVoters, duties), func(fleet *Fleet) error {
+			used, _, err := during(fleet, 2*f.span(), someVoters, nil)
+			points.Add(seriesDutyTalks, float64(duties), used.voterTalks)
+			points.Add(seriesDutyBytes, float64(duties), used.voterBytes)
+			points.Add(seriesDutyCore, float64(duties), used.voterCore)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cut parts the voters into two regions that cannot reach each other for a while.
+func (f *Fleets) cut(ctx context.Context, points Points) (err error) {
+	span := 30 * time.Second
+	if f.Small {
+		span = 4 * time.Second
+	}
+	spec := f.spec(someVoters, 1)
+	sink, err := newMemberSink()
+	if err != nil {
+		return err
+	}
+	defer sink.socket.Close()
+	spec.Servers, spec.Members, spec.Asked = addresses(someVoters), sink.socket.LocalAddr().String(), 1
+	var links []*faultnet.Proxy
+	via := map[string]string{}
+	for _, address := range spec.Servers {
+		link, err := faultnet.New(address)
+		if err != nil {
+			return err
+		}
+		defer link.Close()
+		links, via[address] = append(links, link), link.Addr()
+	}
+	region := func(first, count int) HollowSpec {
+		part := spec
+		part.First, part.Count, part.Via = first, count, map[string]string{}
+		for i, address := range spec.Servers {
+			if i < first || i >= first+count {
+				part.Via[address] = via[address]
+			}
+		}
+		return part
+	}
+	fleet := &Fleet{members: sink, servers: someVoters}
+	defer func() { err = errors.Join(err, fleet.Stop()) }()
+	for _, part := range []HollowSpec{region(0, cutVoters), region(cutVoters, someVoters-cutVoters)} {
+		one, err := startChild(f.Program, part)
+		if err != nil {
+			return err
+		}
+		fleet.children = append(fleet.children, one)
+		if _, err := one.answer(); err != nil {
+			return err
+		}
+	}
+	if _, err := fleet.held(ctx, healWait, 1); err != nil {
+		return err
+	}
+	for _, link := range links {
+		link.Cut()
+	}
+	holders, without, err := fleet.watch(ctx, span)
+	if err != nil {
+		return err
+	}
+	for _, link := range links {
+		link.Heal()
+	}
+	healed, err := fleet.held(ctx, healWait, 1)
+	if err != nil {
+		return err
+	}
+	points.Add(seriesCutHolders, span.Seconds(), float64(holders))
+	points.Add(seriesCutSeconds, span.Seconds(), without.Seconds())
+	points.Add(seriesHealSeconds, span.Seconds(), healed.Seconds())
+	return nil
+}
+
+// holders is how many servers of a fleet may act on a duty now, summed over the duties.
+func (f *Fleet) holders() (n int, err error) {
+	for _, one := range f.children {
+		if one == nil {
+			continue
+		}
+		state, err := one.ask(hollowCommand{})
+		if err != nil {
+			return n, err
+		}
+		for _, holders := range state.Holders {
+			n += len(holders)
+		}
+	}
+	return n, nil
+}
+
+// held waits until so many duties are held, and gives how long that took.
+func (f *Fleet) held(ctx context.Context, wait time.Duration, want int) (time.Duration, error) {
+	for began := time.Now(); ; time.Sleep(holderPoll) {
+		n, err := f.holders()
+		switch {
+		case err != nil:
+			return 0, err
+		case n == want:
+			return time.Since(began), nil
+		case time.Since(began) > wait || ctx.Err() != nil:
+			return 0, fmt.Errorf("hollow: %d holders after %v, and not %d", n, wait, want)
+		}
+	}
+}
+
+// watch looks at the holders of a fleet with one duty over a span: the most at once, and the longest time with none.
+func (f *Fleet) watch(ctx context.Context, span time.Duration) (most int, without time.Duration, err error) {
+	began := time.Now()
+	last := began
+	for time.Since(began) < span && ctx.Err() == nil {
+		n, err := f.holders()
+		if err != nil {
+			return most, without, err
+		}
+		most = max(most, n)
+		if n > 0 {
+			last = time.Now()
+		}
+		without = max(without, time.Since(last))
+		time.Sleep(holderPoll)
+	}
+	return most, without, ctx.Err()
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,262 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/exchange"
+	"quartzpoint/internal/leasing"
+	"quartzpoint/internal/membership"
+	"quartzpoint/knowledge"
+	"quartzpoint/lease"
+)
+
+// HollowSpec says which part of a hollow fleet a process holds.
+type HollowSpec struct {
+	First, Count int               // which servers, by their places in Servers
+	Servers      []string          // the exchange addresses of the whole fleet
+	Via          map[string]string // other addresses that some of them are dialled at
+	Members      string            // the membership service
+	Asked        int               // how many peers a newcomer is told of; 0 for all others
+	Voters       int               // the first so many vote on leases, and want them
+	Duties       int               // that are held by lease
+	Lease        time.Duration
+	Routes       int // that a view tells of
+	Seed         int64
+}
+
+// HollowState is what a hollow process tells of itself.
+type HollowState struct {
+	Traffic exchange.Traffic
+	Cold    int                 // servers that have no view yet
+	Holders map[string][]string // duty to the servers that may act on it now
+}
+
+// hollowCommand is one line to a hollow process; it answers each with a HollowState.
+type hollowCommand struct {
+	Restart int // servers that are stopped and started anew before the answer
+}
+
+const (
+	viewEach     = time.Second            // between the views that a server leaves for others
+	coldFor      = time.Second            // after which a server that got no view has seen enough itself
+	askTotal     = 300 * time.Millisecond // for which a newcomer waits for all of its peers
+	viewSamples  = 40
+	viewMean     = 0.02
+	sharedTerms  = 7 // digest of the settings that all hollow servers share
+	hollowDrift  = 0.01
+	commandLimit = 1 << 20
+)
+
+// hollowServer is one server's control code without a request path: it reports to the membership service, answers and
+// asks peers, and votes on leases where it is a voter.
+type hollowServer struct {
+	spec   *HollowSpec
+	place  int
+	cancel context.CancelFunc
+	giver  *exchange.Giver
+	keeper *leasing.Keeper
+	warm   atomic.Bool
+	over   sync.WaitGroup
+}
+
+// RunHollow holds a part of a hollow fleet until its input ends. The first line of the input is the HollowSpec.
+func RunHollow(in io.Reader, out io.Writer) error {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, commandLimit)
+	if !lines.Scan() {
+		return fmt.Errorf("hollow: no spec: %w", errors.Join(io.ErrUnexpectedEOF, lines.Err()))
+	}
+	spec := &HollowSpec{}
+	if err := json.Unmarshal(lines.Bytes(), spec); err != nil {
+		return fmt.Errorf("hollow: spec: %w", err)
+	}
+	servers := make([]*hollowServer, spec.Count)
+	defer func() {
+		for _, s := range servers {
+			s.stop()
+		}
+	}()
+	for i := range servers {
+		servers[i] = &hollowServer{spec: spec, place: spec.First + i}
+		if err := servers[i].start(); err != nil {
+			return err
+		}
+	}
+	answer := json.NewEncoder(out)
+	if err := answer.Encode(stateOf(servers)); err != nil {
+		return err
+	}
+	chance := rand.New(rand.NewSource(spec.Seed + int64(spec.First)))
+	for lines.Scan() {
+		var command hollowCommand
+		if err := json.Unmarshal(lines.Bytes(), &command); err != nil {
+			return fmt.Errorf("hollow: command: %w", err)
+		}
+		for _, i := range chance.Perm(len(servers))[:min(command.Restart, len(servers))] {
+			servers[i].stop()
+			if err := servers[i].start(); err != nil {
+				return err
+			}
+		}
+		if err := answer.Encode(stateOf(servers)); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+func stateOf(servers []*hollowServer) HollowState {
+	state := HollowState{Traffic: exchange.Total(), Holders: map[string][]string{}}
+	for _, s := range servers {
+		if !s.warm.Load() {
+			state.Cold++
+		}
+		if s.keeper == nil {
+			continue
+		}
+		for _, h := range s.keeper.Holdings() {
+			if h.Holds {
+				state.Holders[h.Duty] = append(state.Holders[h.Duty], s.address())
+			}
+		}
+	}
+	return state
+}
+
+func (s *hollowServer) address() string { return s.spec.Servers[s.place] }
+
+// start begins all of the server's control code.
+func (s *hollowServer) start() error {
+	log := slog.New(slog.DiscardHandler)
+	counts := check.New(log)
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	giver, err := exchange.Listen(s.address(), nil, now, counts)
+	if err != nil {
+		return err
+	}
+	giver.Serve()
+	s.giver = giver
+	s.warm.Store(false)
+	ctx, cancel := context.WithCancel(s.dialedFrom(context.Background()))
+	s.cancel = cancel
+	reporter := membership.New(fmt.Sprintf("hollow-%d", s.place), s.spec.Members, log)
+	s.over.Go(func() { reporter.Run(ctx, membership.Period) })
+	s.over.Go(func() { s.share(ctx, giver, now) })
+	asker := &exchange.Asker{
+		Peers: s.peers(), Total: askTotal, Frame: s.frame(), Seed: s.spec.Seed + int64(s.place),
+		Cold: func() bool { return !s.warm.Load() }, Take: func(knowledge.View) { s.warm.Store(true) },
+		Counts: counts, Log: log,
+	}
+	s.over.Go(func() { asker.Run(ctx) })
+	return s.vote(ctx, log)
+}
+
+// dialedFrom has the server's talks begin at its own host, as those of a machine of its own would.
+func (s *hollowServer) dialedFrom(ctx context.Context) context.Context {
+	own := netip.MustParseAddrPort(s.address())
+	return exchange.WithLocal(ctx, &net.TCPAddr{IP: own.Addr().AsSlice()})
+}
+
+// vote makes the server a voter where the spec says so.
+func (s *hollowServer) vote(ctx context.Context, log *slog.Logger) error {
+	s.keeper = nil
+	if s.place >= s.spec.Voters {
+		return nil
+	}
+	var others, duties []string
+	for i, address := range s.spec.Servers[:s.spec.Voters] {
+		if i != s.place {
+			others = append(others, s.dialedAt(address))
+		}
+	}
+	for i := range s.spec.Duties {
+		duties = append(duties, fmt.Sprintf("duty-%d", i))
+	}
+	keeper, err := leasing.New(leasing.Settings{
+		Name: s.address(), Duties: duties, Peers: others, Seed: s.spec.Seed + int64(s.place), Log: log,
+		Terms: lease.Terms{Lease: s.spec.Lease, Drift: hollowDrift, Voters: s.spec.Voters},
+	})
+	if err != nil {
+		return err
+	}
+	s.keeper = keeper
+	s.giver.SetVoter(keeper.Vote)
+	s.over.Go(func() { keeper.Run(ctx) })
+	return nil
+}
+
+// stop ends the server as a process that is killed: nobody is told.
+func (s *hollowServer) stop() {
+	if s == nil || s.cancel == nil {
+		return
+	}
+	s.cancel()
+	s.giver.Close()
+	s.over.Wait()
+}
+
+func (s *hollowServer) dialedAt(address string) string {
+	if via, stated := s.spec.Via[address]; stated {
+		return via
+	}
+	return address
+}
+
+// peers are those that the server asks at its start.
+func (s *hollowServer) peers() (peers []string) {
+	chance := rand.New(rand.NewSource(s.spec.Seed<<16 + int64(s.place)))
+	for _, i := range chance.Perm(len(s.spec.Servers)) {
+		if i != s.place && (s.spec.Asked == 0 || len(peers) < s.spec.Asked) {
+			peers = append(peers, s.dialedAt(s.spec.Servers[i]))
+		}
+	}
+	return peers
+}
+
+// frame is what all hollow servers agree on, with an origin of the server's own.
+func (s *hollowServer) frame() knowledge.Frame {
+	f := knowledge.Frame{Terms: sharedTerms, Origin: uint64(s.place) + 1}
+	for i := range s.spec.Routes {
+		f.Types, f.Outer = append(f.Types, RouteName(i)), append(f.Outer, 3*time.Second)
+	}
+	return f
+}
+
+// share leaves a view for others once a second, from the moment on at which the server has seen enough.
+func (s *hollowServer) share(ctx context.Context, giver *exchange.Giver, now func() time.Duration) {
+	frame := s.frame()
+	view := knowledge.View{Origin: frame.Origin, Terms: frame.Terms}
+	seen := knowledge.Estimate{Mean: viewMean, Spread: viewMean / 2, Samples: viewSamples}
+	for _, name := range frame.Types {
+		view.Types = append(view.Types, knowledge.TypeView{Name: name, Core: seen, Run: seen})
+	}
+	ticker := time.NewTicker(viewEach)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if now() > coldFor {
+			s.warm.Store(true)
+		}
+		if s.warm.Load() {
+			giver.Put(view, now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/load.go
@@ -0,0 +1,212 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"quartzpoint/internal/rig"
+)
+
+const (
+	honoured   = 20 // code of an answer with a result
+	checkFrame = 20 // type of a health check
+	talkWait   = 5 * time.Second
+)
+
+// quantile is that of some values, in any order.
+func quantile(values []float64, p float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	return stat.Quantile(p, stat.Empirical, slices.Sorted(slices.Values(values)), nil)
+}
+
+func asMilliseconds(spans []time.Duration) []float64 {
+	all := make([]float64, len(spans))
+	for i, span := range spans {
+		all[i] = milliseconds(span)
+	}
+	return all
+}
+
+// callers hold connections to a server.
+type callers struct {
+	address string
+	conns   []net.Conn
+}
+
+// grow opens connections until there are so many.
+func (c *callers) grow(count int) error {
+	for len(c.conns) < count {
+		conn, err := net.DialTimeout("tcp", c.address, talkWait)
+		if err != nil {
+			return fmt.Errorf("caller %d: %w", len(c.conns), err)
+		}
+		c.conns = append(c.conns, conn)
+	}
+	return nil
+}
+
+func (c *callers) close() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+}
+
+// check sends health checks at a rate, each on the next connection, until stop is called.
+func (c *callers) check(rate float64) (stop func()) {
+	quit := make(chan struct{})
+	var over sync.WaitGroup
+	for _, conn := range c.conns {
+		over.Go(func() {
+			_ = conn.SetReadDeadline(time.Time{})
+			_, _ = io.Copy(io.Discard, conn) // answers; the deadline below ends it
+		})
+	}
+	if rate > 0 {
+		over.Go(func() {
+			frame := rig.Frame(checkFrame, 1, "")
+			gap := time.Duration(float64(time.Second) / rate)
+			for next, i := time.Now(), 0; ; i++ {
+				select {
+				case <-quit:
+					return
+				case <-time.After(time.Until(next)):
+				}
+				_, _ = c.conns[i%len(c.conns)].Write(frame)
+				next = next.Add(gap)
+			}
+		})
+	}
+	return func() {
+		close(quit)
+		for _, conn := range c.conns {
+			_ = conn.SetReadDeadline(time.Now())
+		}
+		over.Wait()
+	}
+}
+
+// timeChecks sends a health check every so often over a span and gives how long each took, in milliseconds. during runs
+// beside them, a quarter of the span after the first.
+func timeChecks(address string, each, span time.Duration, during func()) ([]float64, error) {
+	conn, err := net.DialTimeout("tcp", address, talkWait)
+	if err != nil {
+		return nil, fmt.Errorf("checker: %w", err)
+	}
+	defer conn.Close()
+	var over sync.WaitGroup
+	defer over.Wait()
+	if during != nil {
+		over.Go(func() {
+			time.Sleep(span / 4)
+			during()
+		})
+	}
+	in, frame := bufio.NewReader(conn), rig.Frame(checkFrame, 1, "")
+	var took []float64
+	for began := time.Now(); time.Since(began) < span; {
+		sent := time.Now()
+		_ = conn.SetDeadline(sent.Add(talkWait))
+		if _, err := conn.Write(frame); err != nil {
+			return took, fmt.Errorf("checker: %w", err)
+		}
+		if _, err := rig.ReadReply(in); err != nil {
+			return took, fmt.Errorf("checker: %w", err)
+		}
+		took = append(took, milliseconds(time.Since(sent)))
+		time.Sleep(time.Until(sent.Add(each)))
+	}
+	return took, nil
+}
+
+// steadyLoad are requests at a rate, each of the same work, at moments that a seed moves a little, over some of the
+// routes that may simply be repeated.
+func steadyLoad(rate float64, span time.Duration, routes int, seed int64) (load []rig.Arrival, types []rig.Type) {
+	for i := 0; i < routes && len(types) < loadedRoutes; i += keyedEvery {
+		types = append(types, rig.Type{
+			Name: RouteName(i), Contract: 900 * time.Millisecond, Outer: 3 * time.Second, Importance: 1,
+		})
+	}
+	chance := rand.New(rand.NewSource(seed))
+	for i := range int(rate * span.Seconds()) {
+		at := (float64(i) + chance.Float64()) / rate
+		load = append(load, rig.Arrival{
+			At: time.Duration(at * float64(time.Second)), Type: i % len(types), Work: directWork, Rank: 0.5,
+		})
+	}
+	return load, types
+}
+
+// runDirect sends a load straight to workers of its own and gives how long each request took.
+func runDirect(load []rig.Arrival) ([]time.Duration, error) {
+	workers, err := rig.NewWorkers(rig.Machine{Cores: machineCores, Speed: 1, KB: 4e6})
+	if err != nil {
+		return nil, err
+	}
+	defer workers.Close()
+	link, err := net.DialTimeout("tcp", workers.Address, talkWait)
+	if err != nil {
+		return nil, fmt.Errorf("workers: %w", err)
+	}
+	defer link.Close()
+	sent := make([]time.Time, len(load))
+	took := make([]time.Duration, 0, len(load))
+	ended := make(chan error, 1)
+	var mu sync.Mutex
+	go func() {
+		in := bufio.NewScanner(link)
+		for len(took) < len(load) && in.Scan() {
+			var notice struct {
+				Verb string `json:"verb"`
+				Task string `json:"task"`
+			}
+			if json.Unmarshal(in.Bytes(), &notice) != nil || notice.Verb != "finished" {
+				continue
+			}
+			var place int
+			if _, err := fmt.Sscanf(notice.Task, "direct-%d", &place); err != nil {
+				continue
+			}
+			mu.Lock()
+			took = append(took, time.Since(sent[place]))
+			mu.Unlock()
+		}
+		ended <- in.Err()
+	}()
+	if _, err := io.WriteString(link, `{"verb":"bind","index":0}`+"\n"); err != nil {
+		return nil, fmt.Errorf("workers: %w", err)
+	}
+	began := time.Now()
+	for i, arrival := range load {
+		time.Sleep(time.Until(began.Add(arrival.At)))
+		body := binary.BigEndian.AppendUint64(nil, uint64(arrival.Work.Microseconds()))
+		line, err := json.Marshal(map[string]any{"verb": "spawn", "task": fmt.Sprintf("direct-%d", i), "bytes": body})
+		if err != nil {
+			return nil, fmt.Errorf("workers: %w", err)
+		}
+		mu.Lock()
+		sent[i] = time.Now()
+		mu.Unlock()
+		if _, err := link.Write(append(line, '\n')); err != nil {
+			return nil, fmt.Errorf("workers: %w", err)
+		}
+	}
+	select {
+	case err := <-ended:
+		return took, err
+	case <-time.After(talkWait):
+		return nil, errors.New("workers: not all requests ended")
+	}
+}
--- /dev/null
+++ b/internal/scale/plan.go
@@ -0,0 +1,31 @@
+// Package scale measures what the real programs cost as routes, tenants, connections, requests and servers grow, up to
+// the size that is planned, and works the plan's figures out from what was measured. It is for measurements, and no
+// part of the daemon.
+package scale
+
+import "time"
+
+// The planned size.
+const (
+	PlannedServers  = 500
+	PlannedCallers  = 7600
+	PlannedRequests = 110_000 // a second
+	PlannedRoutes   = 3300
+	PlannedTenants  = 30_000
+	PlannedZones    = 7
+	PlannedChanges  = 910  // of configuration, a day
+	PlannedRestarts = 1300 // of servers, a day
+	ControlMachines = 5
+	ZoneServers     = 72 // in the largest zone: 500 servers over 7 zones
+)
+
+// What control may cost an app server.
+const (
+	BudgetCore      = 0.048 // share of a core
+	BudgetMemoryMB  = 256.0
+	BudgetBytes     = 25e3 // a second, sent and received
+	BudgetLatencyMS = 6.5  // added to a request for 99 in 100
+)
+
+// AssumedCheckPeriod is the time between two health checks of one caller. No page states it.
+const AssumedCheckPeriod = 15 * time.Second
--- /dev/null
+++ b/internal/scale/points.go
@@ -0,0 +1,186 @@
+package scale
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Point is one measured value.
+type Point struct{ X, Value float64 }
+
+// Points are measured values by series. The name of a series says what was measured, with its unit.
+type Points map[string][]Point
+
+// Origin says what made a set of points.
+type Origin struct {
+	Seed    int64
+	Commit  string
+	Machine string // cores and memory
+}
+
+// Here is the origin of points measured on this machine with the checkout that the process runs in.
+func Here(seed int64) Origin {
+	o := Origin{Seed: seed, Commit: "unknown"}
+	if out, err := exec.Command("git", "describe", "--always", "--dirty").Output(); err == nil {
+		o.Commit = strings.TrimSpace(string(out))
+	}
+	memory := "memory unknown"
+	if raw, err := os.ReadFile("/proc/meminfo"); err == nil {
+		var kb int
+		if _, err := fmt.Sscanf(string(raw), "MemTotal: %d kB", &kb); err == nil {
+			memory = fmt.Sprintf("%d GiB", (kb+(1<<19))>>20)
+		}
+	}
+	o.Machine = fmt.Sprintf("%d cores, %s", runtime.NumCPU(), memory)
+	return o
+}
+
+// String is the origin in one line, as it stands in each file.
+func (o Origin) String() string {
+	return fmt.Sprintf("seed %d, commit %s, %s", o.Seed, o.Commit, o.Machine)
+}
+
+// Add files a value.
+func (p Points) Add(series string, x, value float64) { p[series] = append(p[series], Point{x, value}) }
+
+// Merge files all values of another set.
+func (p Points) Merge(other Points) {
+	for series, points := range other {
+		p[series] = append(p[series], points...)
+	}
+}
+
+// Of gives a series as two rows of numbers, by rising x.
+func (p Points) Of(series string) (xs, ys []float64) {
+	points := slices.Clone(p[series])
+	slices.SortStableFunc(points, func(a, b Point) int { return cmp.Compare(a.X, b.X) })
+	for _, one := range points {
+		xs, ys = append(xs, one.X), append(ys, one.Value)
+	}
+	return xs, ys
+}
+
+// Fit draws a line through a series.
+func (p Points) Fit(series string) Line { return Fit(p.Of(series)) }
+
+// At is the mean of the values that a series has at x.
+func (p Points) At(series string, x float64) (value float64, measured bool) {
+	n := 0.0
+	for _, one := range p[series] {
+		if one.X == x {
+			value += one.Value
+			n++
+		}
+	}
+	return value / max(n, 1), n > 0
+}
+
+// Write puts the points into a file, with their origin in its first line.
+func (p Points) Write(path string, origin Origin) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("points: %w", err)
+	}
+	defer file.Close()
+	fmt.Fprintf(file, "# %s\n", origin)
+	out := csv.NewWriter(file)
+	rows := [][]string{{"series", "x", "value"}}
+	for _, series := range slices.Sorted(maps.Keys(p)) {
+		xs, ys := p.Of(series)
+		for i := range xs {
+			rows = append(rows, []string{series, number(xs[i]), number(ys[i])})
+		}
+	}
+	if err := out.WriteAll(rows); err != nil {
+		return fmt.Errorf("points: %w", err)
+	}
+	return file.Close()
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) }
+
+// Read takes the points of a file, and the line that says what made them.
+func Read(path string) (Points, string, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, "", fmt.Errorf("points: %w", err)
+	}
+	defer file.Close()
+	in := bufio.NewReader(file)
+	origin, err := in.ReadString('\n')
+	if err != nil || !strings.HasPrefix(origin, "# ") {
+		return nil, "", fmt.Errorf("points: %s does not say what made it", path)
+	}
+	rows, p := csv.NewReader(in), Points{}
+	if _, err := rows.Read(); err != nil {
+		return nil, "", fmt.Errorf("points: %s: %w", path, err)
+	}
+	for {
+		row, err := rows.Read()
+		if errors.Is(err, io.EOF) {
+			return p, strings.TrimSpace(origin[2:]), nil
+		}
+		if err != nil {
+			return nil, "", fmt.Errorf("points: %s: %w", path, err)
+		}
+		x, errX := strconv.ParseFloat(row[1], 64)
+		value, errValue := strconv.ParseFloat(row[2], 64)
+		if err := errors.Join(errX, errValue); err != nil {
+			return nil, "", fmt.Errorf("points: %s: %w", path, err)
+		}
+		p.Add(row[0], x, value)
+	}
+}
+
+const (
+	chartWidth  = 7 * vg.Inch
+	chartHeight = 4 * vg.Inch
+)
+
+// Chart draws some series with their lines; a series that does not grow as a line is drawn without one.
+func (p Points) Chart(path, title, x, y string, origin Origin, series ...string) error {
+	drawn := plot.New()
+	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = title+"\n"+origin.String(), x, y
+	drawn.Legend.Top, drawn.Legend.Left = true, true
+	drawn.Add(plotter.NewGrid())
+	for i, name := range series {
+		xs, ys := p.Of(name)
+		points := make(plotter.XYs, len(xs))
+		for k := range xs {
+			points[k] = plotter.XY{X: xs[k], Y: ys[k]}
+		}
+		scatter, err := plotter.NewScatter(points)
+		if err != nil {
+			return fmt.Errorf("chart %s: %w", name, err)
+		}
+		scatter.GlyphStyle.Color, scatter.GlyphStyle.Shape = plotutil.Color(i), plotutil.Shape(i)
+		drawn.Add(scatter)
+		drawn.Legend.Add(name, scatter)
+		if line := Fit(xs, ys); line.Straight {
+			fitted := plotter.NewFunction(line.At)
+			fitted.Color = plotutil.Color(i)
+			drawn.Add(fitted)
+		}
+	}
+	if err := drawn.Save(chartWidth, chartHeight, path); err != nil {
+		return fmt.Errorf("chart %s: %w", filepath.Base(path), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/publish.go
@@ -0,0 +1,81 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+)
+
+// chart is one picture of a part's series.
+type chart struct {
+	file, title, x, y string
+	series            []string
+}
+
+// charts are the pictures of each part.
+var charts = map[string][]chart{
+	"slopes": {
+		{"memory.svg", "memory of a daemon", "% of the planned routes and tenants", "MB",
+			[]string{seriesResident + bySize, seriesAfterReloads + bySize}},
+		{"idle.svg", "idle processor time of a daemon", "% of the planned routes and tenants", "% of a core",
+			[]string{seriesIdle + bySize}},
+		{"reload.svg", "processor time of a reload", "% of the planned routes and tenants", "ms",
+			[]string{seriesReloadSame + bySize, seriesReloadMoved + bySize}},
+		{"connections.svg", "memory by connections", "connections", "MB", []string{seriesConnectionsMB}},
+		{"checks.svg", "processor time by health checks", "checks a second", "% of a core",
+			[]string{fmt.Sprintf(seriesChecks, fewRoutes), fmt.Sprintf(seriesChecks, PlannedRoutes)}},
+		{"requests.svg", "processor time by requests", "requests a second", "% of a core",
+			[]string{fmt.Sprintf(seriesRequests, fewRoutes), fmt.Sprintf(seriesRequests, PlannedRoutes)}},
+		{"latency.svg", "what a daemon adds to a request", "requests a second", "ms",
+			[]string{seriesAddedP50, seriesAddedP99}},
+	},
+	"fleets": {
+		{"restart.svg", "bytes of one restart", "servers", "bytes", []string{seriesNewcomerBytes}},
+		{"voters.svg", "lease talks by voters", "voters", "talks a second and voter", []string{seriesVoterTalks}},
+		{"duties.svg", "lease talks by duties, 5 voters", "duties", "talks a second and voter", []string{seriesDutyTalks}},
+	},
+}
+
+// Publish writes the points of each part, and its charts, into a folder.
+func Publish(folder string, parts map[string]Points, origin Origin) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fmt.Errorf("points: %w", err)
+	}
+	for _, part := range slices.Sorted(maps.Keys(parts)) {
+		points := parts[part]
+		if err := points.Write(filepath.Join(folder, part+".csv"), origin); err != nil {
+			return err
+		}
+		for _, c := range charts[part] {
+			if err := points.Chart(filepath.Join(folder, c.file), c.title, c.x, c.y, origin, c.series...); err != nil {
+				return err
+			}
+		}
+		if err := points.Print(os.Stdout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Print writes a line for each series: its smallest and largest x with their values, and the line through its points.
+func (p Points) Print(to io.Writer) error {
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "series\tpoints\tfrom\tto\tslope\tat 0\tr2\tworst residual\tline\t")
+	for _, series := range slices.Sorted(maps.Keys(p)) {
+		xs, ys := p.Of(series)
+		line, last := Fit(xs, ys), len(xs)-1
+		shape := "no"
+		if line.Straight {
+			shape = "yes"
+		}
+		fmt.Fprintf(table, "%s\t%d\t%s at %s\t%s at %s\t%s\t%s\t%.3f\t%s\t%s\t\n", series, len(xs),
+			number(ys[0]), number(xs[0]), number(ys[last]), number(xs[last]), number(line.Slope), number(line.Intercept),
+			line.R2, number(line.Worst), shape)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/scale/slopes.go
@@ -0,0 +1,397 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"quartzpoint/internal/rig"
+)
+
+// What the slopes' series measure. Behind each stands "by" and what grew.
+const (
+	seriesStart        = "start ms"
+	seriesResident     = "resident MB"
+	seriesAfterReloads = "resident MB after reloads"
+	seriesIdle         = "idle core %"
+	seriesReloadSame   = "reload without a change, cpu ms"
+	seriesReloadMoved  = "reload with one change, cpu ms"
+	seriesFile         = "configuration file MB"
+
+	byRoutes  = " by routes"
+	byTenants = " by tenants"
+	bySize    = " by % of the planned routes and tenants"
+
+	seriesCheckQuiet  = "health check p99 ms, quiet" + bySize
+	seriesCheckReload = "health check p99 ms, over a reload" + bySize
+
+	seriesConnectionsMB   = "resident MB by connections"
+	seriesConnectionsIdle = "idle core % by connections"
+	seriesChecks          = "core %% by health checks a second, %d routes"
+	seriesRequests        = "core %% by requests a second, %d routes"
+	seriesAddedP50        = "added ms p50 by requests a second"
+	seriesAddedP99        = "added ms p99 by requests a second"
+	seriesDirectP99       = "direct ms p99 by requests a second"
+)
+
+const (
+	reloads        = 5                // before the memory after reloads is read
+	reloadWait     = 20 * time.Second // for one reload
+	tablesAtOnce   = 4
+	fewRoutes      = 2
+	checkerConns   = 200
+	directWork     = 10 * time.Millisecond // of each request
+	machineCores   = 8
+	settleWait     = 300 * time.Millisecond // after a start, for what it left behind to be collected
+	checkEach      = 2 * time.Millisecond
+	loadedRoutes   = 64
+	keyedEvery     = 8 // every eighth route may simply be repeated; see routeSettings
+	checkedForSpan = 2 * time.Second
+)
+
+// Slopes measures one real daemon over several sizes.
+type Slopes struct {
+	Daemon string // path of the program
+	Folder string // for configurations
+	Seed   int64
+	Small  bool // fewer and shorter points, up to a fifth of the planned size
+}
+
+// Run measures everything. The daemons' tables are measured a few at once, all else by itself.
+func (s *Slopes) Run(ctx context.Context) (Points, error) {
+	all := Points{}
+	for _, part := range []func(context.Context) (Points, error){s.tables, s.connections, s.checks, s.requests} {
+		points, err := part(ctx)
+		if err != nil {
+			return nil, err
+		}
+		all.Merge(points)
+	}
+	return all, nil
+}
+
+// size is the part of the planned size that is measured up to.
+func (s *Slopes) size() float64 {
+	if s.Small {
+		return 0.2
+	}
+	return 1
+}
+
+// span is how long a share of a core is looked at.
+func (s *Slopes) span() time.Duration {
+	if s.Small {
+		return 400 * time.Millisecond
+	}
+	return 1500 * time.Millisecond
+}
+
+// steps are the points of a series, in parts of the largest.
+var steps = []float64{0, 0.25, 0.5, 0.75, 1}
+
+// launch starts a daemon with tables of a size.
+func (s *Slopes) launch(name string, routes, tenants int) (*rig.Daemon, error) {
+	machine := rig.Machine{Cores: machineCores, Speed: 1, KB: 4e6}
+	return rig.Launch(s.Daemon, nil, s.Folder, name, machine, "", func(listen, pool, members string) ([]byte, error) {
+		return Site(max(routes, fewRoutes), tenants, listen, pool, members)
+	})
+}
+
+// table is one size of a daemon's tables, and the series that it is a point of.
+type table struct {
+	by              string
+	x               float64
+	routes, tenants int
+}
+
+// tables measures start, memory, idle time and reloads by routes, by tenants, and by both together.
+func (s *Slopes) tables(ctx context.Context) (Points, error) {
+	var jobs []table
+	routes, tenants := s.size()*PlannedRoutes, s.size()*PlannedTenants
+	for _, step := range steps {
+		jobs = append(jobs,
+			table{byRoutes, float64(max(int(step*routes), fewRoutes)), int(step * routes), 0},
+			table{byTenants, float64(int(step * tenants)), fewRoutes, int(step * tenants)},
+			table{bySize, 100 * step * s.size(), int(step * routes), int(step * tenants)})
+	}
+	var (
+		mu    sync.Mutex
+		all   = Points{}
+		errs  []error
+		group sync.WaitGroup
+		slots = make(chan struct{}, tablesAtOnce)
+	)
+	for i, job := range jobs {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			if ctx.Err() != nil {
+				return
+			}
+			points, err := s.table(fmt.Sprintf("table%d", i), job)
+			mu.Lock()
+			defer mu.Unlock()
+			all.Merge(points)
+			if err != nil {
+				errs = append(errs, fmt.Errorf("%d routes, %d tenants: %w", job.routes, job.tenants, err))
+			}
+		})
+	}
+	group.Wait()
+	return all, errors.Join(append(errs, ctx.Err())...)
+}
+
+// table measures one size.
+func (s *Slopes) table(name string, job table) (points Points, err error) {
+	began := time.Now()
+	d, err := s.launch(name, job.routes, job.tenants)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, d.Stop()) }()
+	points = Points{}
+	points.Add(seriesStart+job.by, job.x, float64(time.Since(began).Microseconds())/1000)
+	if about, err := os.Stat(d.Path); err == nil {
+		points.Add(seriesFile+job.by, job.x, float64(about.Size())/1e6)
+	}
+	time.Sleep(settleWait)
+	idle, err := coreShare(d.PID(), s.span())
+	if err != nil {
+		return points, err
+	}
+	points.Add(seriesIdle+job.by, job.x, idle)
+	resident, err := ResidentMB(d.PID())
+	if err != nil {
+		return points, err
+	}
+	points.Add(seriesResident+job.by, job.x, resident)
+	if job.by == bySize {
+		if err := s.checksOverReload(d, job, points); err != nil {
+			return points, err
+		}
+	}
+	return points, s.reloads(d, job, points)
+}
+
+// reloads measures reloads that change nothing, and then one that changes a setting that may move in service.
+func (s *Slopes) reloads(d *rig.Daemon, job table, points Points) error {
+	var took []time.Duration
+	for range reloads {
+		spent, err := reload(d)
+		if err != nil {
+			return err
+		}
+		took = append(took, spent)
+	}
+	slices.Sort(took)
+	points.Add(seriesReloadSame+job.by, job.x, milliseconds(took[len(took)/2]))
+	if err := rewrite(d.Path, `"halt":"suspend"`, `"halt":"abort"`); err != nil {
+		return err
+	}
+	spent, err := reload(d)
+	if err != nil {
+		return err
+	}
+	points.Add(seriesReloadMoved+job.by, job.x, milliseconds(spent))
+	resident, err := ResidentMB(d.PID())
+	if err != nil {
+		return err
+	}
+	points.Add(seriesAfterReloads+job.by, job.x, resident)
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func rewrite(path, from, to string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	return os.WriteFile(path, []byte(strings.Replace(string(raw), from, to, 1)), 0o600)
+}
+
+// reload has a daemon read its configuration anew and gives the processor time that took.
+func reload(d *rig.Daemon) (time.Duration, error) {
+	const told = `msg="new configuration"`
+	seen := strings.Count(d.Log(), told)
+	before, err := CPU(d.PID())
+	if err != nil {
+		return 0, err
+	}
+	if err := d.Signal(syscall.SIGHUP); err != nil {
+		return 0, err
+	}
+	for end := time.Now().Add(reloadWait); strings.Count(d.Log(), told) == seen; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return 0, fmt.Errorf("no reload within %v", reloadWait)
+		}
+	}
+	time.Sleep(20 * time.Millisecond) // what the owner does with it, and the collector behind it
+	after, err := CPU(d.PID())
+	return after - before, err
+}
+
+// checksOverReload times health checks on a quiet daemon, and again while it reloads.
+func (s *Slopes) checksOverReload(d *rig.Daemon, job table, points Points) error {
+	quiet, err := timeChecks(d.Address, checkEach, checkedForSpan/2, nil)
+	if err != nil {
+		return err
+	}
+	points.Add(seriesCheckQuiet, job.x, quantile(quiet, 0.99))
+	var failed error
+	over, err := timeChecks(d.Address, checkEach, checkedForSpan, func() { _, failed = reload(d) })
+	if err := errors.Join(err, failed); err != nil {
+		return err
+	}
+	points.Add(seriesCheckReload, job.x, quantile(over, 0.99))
+	return nil
+}
+
+// connections measures memory and idle time by connections that carry nothing.
+func (s *Slopes) connections(context.Context) (points Points, err error) {
+	d, err := s.launch("connections", fewRoutes, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, d.Stop()) }()
+	points = Points{}
+	callers := &callers{address: d.Address}
+	defer callers.close()
+	for _, step := range steps {
+		count := int(step * s.size() * PlannedCallers)
+		if err := callers.grow(count); err != nil {
+			return points, err
+		}
+		time.Sleep(settleWait)
+		idle, err := coreShare(d.PID(), s.span())
+		if err != nil {
+			return points, err
+		}
+		resident, err := ResidentMB(d.PID())
+		if err != nil {
+			return points, err
+		}
+		points.Add(seriesConnectionsIdle, float64(count), idle)
+		points.Add(seriesConnectionsMB, float64(count), resident)
+	}
+	return points, nil
+}
+
+// bothSizes are the numbers of routes that loads are measured at.
+func (s *Slopes) bothSizes() []int { return []int{fewRoutes, int(s.size() * PlannedRoutes)} }
+
+// checks measures processor time by health checks a second, each on another connection.
+func (s *Slopes) checks(context.Context) (Points, error) {
+	points := Points{}
+	for _, routes := range s.bothSizes() {
+		err := s.loaded(routes, func(d *rig.Daemon) error {
+			callers := &callers{address: d.Address}
+			defer callers.close()
+			if err := callers.grow(checkerConns); err != nil {
+				return err
+			}
+			for _, rate := range []float64{0, 250, 500, 1000, 2000} {
+				stop := callers.check(rate)
+				share, err := coreShare(d.PID(), s.span())
+				stop()
+				if err != nil {
+					return err
+				}
+				points.Add(fmt.Sprintf(seriesChecks, plannedOr(routes, s.size())), rate, share)
+			}
+			return nil
+		})
+		if err != nil {
+			return points, err
+		}
+	}
+	return points, nil
+}
+
+// plannedOr names a measured number of routes by the planned one, where a part of that stands for it.
+func plannedOr(routes int, size float64) int {
+	if routes == fewRoutes {
+		return routes
+	}
+	return int(float64(routes)/size + 0.5)
+}
+
+// loaded runs a measurement on a daemon with so many routes, and with as large a part of the planned tenants.
+func (s *Slopes) loaded(routes int, measure func(d *rig.Daemon) error) (err error) {
+	tenants := 0
+	if routes > fewRoutes {
+		tenants = int(s.size() * PlannedTenants)
+	}
+	d, err := s.launch(fmt.Sprintf("loaded%d", routes), routes, tenants)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, d.Stop()) }()
+	time.Sleep(settleWait)
+	return measure(d)
+}
+
+// requests measures processor time by requests a second, and what the daemon adds to a request: the same load goes
+// through it and straight to workers of the same kind, one behind the other.
+func (s *Slopes) requests(context.Context) (Points, error) {
+	points := Points{}
+	rates := []float64{0, 60, 120, 180, PlannedRequests / PlannedServers, 260}
+	for _, routes := range s.bothSizes() {
+		series := fmt.Sprintf(seriesRequests, plannedOr(routes, s.size()))
+		err := s.loaded(routes, func(d *rig.Daemon) error {
+			for i, rate := range rates {
+				if err := s.request(d, rate, routes, int64(i), series, points); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return points, err
+		}
+	}
+	return points, nil
+}
+
+// request measures one rate.
+func (s *Slopes) request(d *rig.Daemon, rate float64, routes int, place int64, series string, points Points) error {
+	load, types := steadyLoad(rate, s.span(), routes, s.Seed+place)
+	type result struct {
+		took rig.Result
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		took, err := rig.Run(d.Address, types, load, 1)
+		done <- result{took, err}
+	}()
+	share, err := coreShare(d.PID(), s.span())
+	through := <-done
+	if err := errors.Join(err, through.err); err != nil {
+		return err
+	}
+	points.Add(series, rate, share)
+	if routes == fewRoutes || rate == 0 {
+		return nil
+	}
+	if through.took.Unanswered > 0 || through.took.Codes[honoured] < through.took.Tasks {
+		return fmt.Errorf("%.0f requests a second: %d of %d honoured", rate, through.took.Codes[honoured], through.took.Tasks)
+	}
+	direct, err := runDirect(load)
+	if err != nil {
+		return err
+	}
+	straight := asMilliseconds(direct)
+	crossed := asMilliseconds(through.took.Took)
+	points.Add(seriesDirectP99, rate, quantile(straight, 0.99))
+	points.Add(seriesAddedP50, rate, quantile(crossed, 0.5)-quantile(straight, 0.5))
+	points.Add(seriesAddedP99, rate, quantile(crossed, 0.99)-quantile(straight, 0.99))
+	return nil
+}
