Costs at the planned size: no pass over all routes, settings read once, views of 256 routes from 16 peers

Cause (probe of, and the issue's): measure() went over all routes 40 times a second (choice.go, for range c.Types); each SIGHUP parsed the settings, built a server to check them and sorted all names, though nothing had changed (start.go); a view of over 256 routes was refused by knowledge.Frame.Fit and by mostView; a newcomer asked every listed peer. Change: only routes whose runs ended lately are looked at; settings of the same text are not read again, and after a large reading memory is given back; views tell of the 256 routes with the most samples and are put in order by the reader; a newcomer wants the answers of 16 peers. What is stated of a route is parted from what was learned (choice/table.go).

--- a/baseline/base.go
+++ b/baseline/base.go
@@ -69,10 +69,10 @@
 }
 
 func maker(make func(m emulator.Machine, types []emulator.Type, rng *rand.Rand) limiter) emulator.Maker {
-	return func(types []emulator.Type, m emulator.Machine, _ float64, seed int64) (emulator.Policy, []*choice.TrafficType) {
-		var kinds []*choice.TrafficType
+	return func(types []emulator.Type, m emulator.Machine, _ float64, seed int64) (emulator.Policy, []*choice.Route) {
+		var kinds []*choice.Route
 		for _, t := range types {
-			kind := &choice.TrafficType{
+			kind := &choice.Route{
 				Importance: t.Importance, ContractTime: t.Contract, OuterLimit: t.Outer, Calls: t.Calls != "", SkipShare: t.Skips,
 			}
 			if t.Once {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,7 +2,7 @@
 
 // One Choice decides for one app server. The program calls New with the terms it was started under and
 // a seed, then Decide once a round with all that came in; decisions go into the Writer in their order.
-// Round, Task, TrafficType and Writer, the whole interface, are in task.go; ring.go measures over time.
+// Round, Task, Route and Writer, the whole interface, are in task.go; ring.go measures over time.
 //
 // The ordinary path is the in-flight limit of docs/design.md: calibrate moves it, mayStart obeys it, the
 // hold keeps the rest by due time. The other functions are the exceptions and guards that page lists.
@@ -14,7 +14,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -56,13 +55,14 @@
 
 // Choice decides for one server.
 type Choice struct {
-	Types []*TrafficType
+	Routes []*Route
 
-	terms     map[string]any
-	customers []*ring // what each of those who share the fleet asked for here
-	rng       *rand.Rand
-	now       time.Duration
-	began     time.Duration
+	terms   map[string]any
+	busy    map[*learned]bool // of routes whose runs ended lately, the only ones whose latency can have moved
+	tenants tenants
+	rng     *rand.Rand
+	now     time.Duration
+	began   time.Duration
 
 	cores, memory, factor, numberKB float64
 	coldShare, warmUp               float64 // speed at the start, and the time until all of it is there
@@ -132,6 +132,7 @@
 		unread:   newRing(time.Second, 10),
 		known:    newRing(customerSpan, 10),
 		callers:  map[uint32]time.Duration{},
+		busy:     map[*learned]bool{},
 		ends:     newRing(3*time.Second, 6),
 		paced:    newRing(6*time.Second, 12),
 		called:   newRing(2*time.Second, 8),
@@ -149,29 +150,10 @@
 	}
 	c.callRoom = c.callShare * callStart
 	c.callSaved, c.callTurns = c.callRoom, c.rng.Float64()
-	kinds := map[string]Repeats{"numbered": Numbered, "at-most-once": AtMostOnce}
 	for i := range int(pick(terms, "types", 0.0)) {
-		of := "type." + strconv.Itoa(i) + "."
-		t := &TrafficType{
-			Importance:   pick(terms, of+"importance", 1.0),
-			LateShare:    pick(terms, of+"late-share", 0.0),
-			ContractTime: pick(terms, of+"contract-time", time.Second),
-			OuterLimit:   pick(terms, of+"outer-limit", time.Second),
-			Window:       pick(terms, of+"window", time.Duration(0)),
-			Calls:        pick(terms, of+"calls", false),
-			SkipShare:    pick(terms, of+"skip-share", 0.0),
-			Repeats:      kinds[pick(terms, of+"repeats", "reissuable")],
-			runs:         newRing(6*time.Second, 12),
-		}
-		c.Types = append(c.Types, t)
-		c.callGuess = max(c.callGuess, t.ContractTime.Seconds()/guess)
-		if c.coldShare < 1 { // at a release the whole fleet knows as little, in the same moment
-			c.callGuess = max(c.callGuess, t.ContractTime.Seconds()/2)
-		}
-	}
-	for range int(pick(terms, "customers", 0.0)) {
-		c.customers = append(c.customers, newRing(customerSpan, 10))
+		c.Put(nil, newRoute(terms, i))
 	}
+	c.tenants = newTenants(terms)
 	return c
 }
 
@@ -276,9 +258,7 @@
 		c.callers[t.Caller] = c.now
 	}
 	c.known.add(c.now, 1, again)
-	if t.Customer < len(c.customers) {
-		c.customers[t.Customer].add(c.now, 1)
-	}
+	c.tenants.add(t.Customer, c.now)
 	if t.Rank >= c.level {
 		c.load.add(c.now, c.need(t).Seconds())
 	}
@@ -359,6 +339,7 @@
 	c.enter(t, t.phase)
 	if e.Outcome == Done || e.Outcome == Broken {
 		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
+		c.busy[t.Type.learned] = true
 		c.ends.add(c.now, 1, float64(e.Outcome-Done))
 		t.Type.usual.take(t.onCore.Seconds(), 200)
 		t.Type.latency.take(e.Took.Seconds(), 200)
@@ -599,12 +580,9 @@
 	if t.late { // planned to end past its contract time: it goes before one that would still be in time
 		worth *= t.Type.LateShare
 	}
-	if t.Customer < len(c.customers) {
-		rate := "customer." + strconv.Itoa(t.Customer) + ".rate"
-		share := pick(c.terms, rate, math.Inf(1)) / pick(c.terms, "servers", 1.0)
-		if asked := c.customers[t.Customer].sum(c.now)[0] / customerSpan.Seconds(); asked > share {
-			worth *= 1 - (1-share/asked)*(1-pick(c.terms, "over-share", 1.0))
-		}
+	share := c.tenants.rate(t.Customer) / pick(c.terms, "servers", 1.0)
+	if asked := c.tenants.asked(t.Customer, c.now); asked > share {
+		worth *= 1 - (1-share/asked)*(1-pick(c.terms, "over-share", 1.0))
 	}
 	if pick(c.terms, "importance-by", "request") == "work" {
 		return worth
@@ -793,9 +771,11 @@
 	if c.gauges.CPU >= softCPU || c.gauges.Memory >= softMemory {
 		c.event = true
 	}
-	for _, t := range c.Types {
+	for t := range c.busy { // what is done is the same in any order
 		short := t.runs.recent(c.now, 4)
-		if short[1] >= 5 && short[2]/short[1] > degraded*t.latency.mean {
+		if short[1] == 0 {
+			delete(c.busy, t)
+		} else if short[1] >= 5 && short[2]/short[1] > degraded*t.latency.mean {
 			c.event = true
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -54,7 +54,7 @@
 }
 
 func (b *bench) task(name string, kind int) *Task {
-	t := &Task{Type: b.Types[kind], HeldKB: 10, Arrived: b.at, Rank: 0.99}
+	t := &Task{Type: b.Routes[kind], HeldKB: 10, Arrived: b.at, Rank: 0.99}
 	b.names[t] = name
 	return t
 }
@@ -578,8 +578,12 @@
 	})
 	within, over := b.task("within", 0), b.task("over", 0)
 	over.Customer = 1
-	b.customers[0].add(b.at, 5)
-	b.customers[1].add(b.at, 20)
+	for range 5 {
+		b.tenants.add(0, b.at)
+	}
+	for range 20 {
+		b.tenants.add(1, b.at)
+	}
 	assert.Equal(t, b.density(within), (&bench{Choice: newBench(nil).Choice}).density(within))
 	assert.InDelta(t, 0.525*b.density(within), b.density(over), 0.001)
 }
--- a/choice/lent.go
+++ b/choice/lent.go
@@ -43,10 +43,10 @@
 	}
 	c.borrowed = false
 	took, told := 0.0, 0.0
-	for _, t := range c.Types {
+	for _, t := range c.Routes {
 		if t.lent.weigh(now) {
 			c.borrowed = true
-			trust := scaleDoubt / float64(len(c.Types)) * t.lent.told.Mean
+			trust := scaleDoubt / float64(len(c.Routes)) * t.lent.told.Mean
 			took += t.coreSeen.mean*t.coreSeen.count + trust
 			told += t.lent.told.Mean*t.coreSeen.count + trust
 		}
--- a/choice/newcomer_test.go
+++ b/choice/newcomer_test.go
@@ -110,7 +110,7 @@
 			a := p.load[0]
 			p.load = p.load[1:]
 			t := &playedTask{arrival: a, left: a.Work.Seconds() / p.machine.Speed, Task: &choice.Task{
-				Type: p.module.Types[a.Type], HeldKB: 20, Arrived: p.now, Due: p.now + p.types[a.Type].Outer, Rank: a.Rank,
+				Type: p.module.Routes[a.Type], HeldKB: 20, Arrived: p.now, Due: p.now + p.types[a.Type].Outer, Rank: a.Rank,
 			}}
 			p.of[t.Task] = t
 			r.Arrived = append(r.Arrived, t.Task)
--- /dev/null
+++ b/choice/table.go
@@ -0,0 +1,111 @@
+package choice
+
+import (
+	"cmp"
+	"math"
+	"strconv"
+	"time"
+)
+
+// The tables of routes and tenants, which may change in service. Nothing here decides: it holds what is stated and what
+// was seen of each. A change costs what it changes, not what the tables hold.
+
+// repeatKinds are the words of the settings.
+var repeatKinds = map[string]Repeats{"numbered": Numbered, "at-most-once": AtMostOnce}
+
+// newRoute reads the i-th route of the settings.
+func newRoute(terms map[string]any, i int) Route {
+	of := "type." + strconv.Itoa(i) + "."
+	return Route{
+		Name:         pick(terms, of+"name", ""),
+		Importance:   pick(terms, of+"importance", 1.0),
+		LateShare:    pick(terms, of+"late-share", 0.0),
+		ContractTime: pick(terms, of+"contract-time", time.Second),
+		OuterLimit:   pick(terms, of+"outer-limit", time.Second),
+		Window:       pick(terms, of+"window", time.Duration(0)),
+		Calls:        pick(terms, of+"calls", false),
+		SkipShare:    pick(terms, of+"skip-share", 0.0),
+		Repeats:      repeatKinds[pick(terms, of+"repeats", "reissuable")],
+	}
+}
+
+// Put adds a route, or states anew the one that was: tasks taken in before keep what they were taken in under, and what
+// was learned of the route stays. Of stated only the settings count. It returns the route that new tasks are to have.
+func (c *Choice) Put(was *Route, stated Route) *Route {
+	t := &stated
+	if was != nil {
+		t.place, t.learned = was.place, was.learned
+		c.Routes[t.place] = t
+	} else {
+		t.place, t.learned = len(c.Routes), &learned{runs: newRing(6*time.Second, 12)}
+		c.Routes = append(c.Routes, t)
+	}
+	c.callGuess = max(c.callGuess, t.ContractTime.Seconds()/guess)
+	if c.coldShare < 1 { // at a release the whole fleet knows as little, in the same moment
+		c.callGuess = max(c.callGuess, t.ContractTime.Seconds()/2)
+	}
+	return t
+}
+
+// Remove takes a route out. Tasks of it that were taken in go on under it to their end.
+func (c *Choice) Remove(t *Route) {
+	last := c.Routes[len(c.Routes)-1]
+	last.place = t.place
+	c.Routes[t.place] = last
+	c.Routes[len(c.Routes)-1] = nil
+	c.Routes = c.Routes[:len(c.Routes)-1]
+	delete(c.busy, t.learned)
+}
+
+// PutTenant states the rate of the tenant at a place of the table, in requests a second over the whole fleet. A place
+// one past the end adds one. What the tenant at the place has asked for counts on, unless another takes the place.
+func (c *Choice) PutTenant(place int, rate float64, another bool) {
+	if place == len(c.tenants.rates) {
+		c.tenants.rates = append(c.tenants.rates, rate)
+		c.tenants.seen = append(c.tenants.seen, nil)
+		return
+	}
+	c.tenants.rates[place] = rate
+	if another {
+		c.tenants.seen[place] = nil
+	}
+}
+
+// tenants are those who share the fleet, by their places: the rate that each may ask of it, and what it asked for here.
+type tenants struct {
+	rates []float64 // a second
+	seen  []*ring   // nil for one that has asked for nothing yet
+}
+
+func newTenants(terms map[string]any) (all tenants) {
+	for i := range int(pick(terms, "customers", 0.0)) {
+		all.rates = append(all.rates, pick(terms, "customer."+strconv.Itoa(i)+".rate", math.Inf(1)))
+	}
+	all.seen = make([]*ring, len(all.rates))
+	return all
+}
+
+// add counts a task of a tenant; one that the settings do not name is nobody's.
+func (t *tenants) add(place int, now time.Duration) {
+	if place >= len(t.seen) {
+		return
+	}
+	t.seen[place] = cmp.Or(t.seen[place], newRing(customerSpan, 10))
+	t.seen[place].add(now, 1)
+}
+
+// asked is what a tenant asked for here lately, a second.
+func (t *tenants) asked(place int, now time.Duration) float64 {
+	if place >= len(t.seen) || t.seen[place] == nil {
+		return 0
+	}
+	return t.seen[place].sum(now)[0] / customerSpan.Seconds()
+}
+
+// rate is what a tenant may ask of the fleet, a second; without bound for one that the settings do not name.
+func (t *tenants) rate(place int) float64 {
+	if place >= len(t.rates) {
+		return math.Inf(1)
+	}
+	return t.rates[place]
+}
--- a/choice/task.go
+++ b/choice/task.go
@@ -13,8 +13,9 @@
 	AtMostOnce
 )
 
-// TrafficType is what a kind of task is owed and worth, as stated at the start, and what was seen of it.
-type TrafficType struct {
+// Route is what a kind of task is owed and worth, as stated at the start, and what was seen of it.
+type Route struct {
+	Name         string
 	Importance   float64
 	LateShare    float64
 	ContractTime time.Duration
@@ -25,6 +26,12 @@
 	SkipShare    float64
 	Waits        time.Duration // that its runs wait for calls whatever the cores do; they begin as much sooner
 
+	place int // in the table
+	*learned
+}
+
+// learned is what was seen of a route; it outlasts what is stated of it.
+type learned struct {
 	runs    *ring
 	usual   trend // core seconds of a run
 	latency trend // seconds from start to end
@@ -35,7 +42,7 @@
 
 // Task is one try of a client's work, from its reading to the end of all that it left behind.
 type Task struct {
-	Type     *TrafficType
+	Type     *Route
 	HeldKB   float64
 	Hint     time.Duration // expected work on a standard core; 0 where none was given
 	Arrived  time.Duration // when it reached the machine, before it was read
--- a/choice/view.go
+++ b/choice/view.go
@@ -1,7 +1,6 @@
 package choice
 
 import (
-	"strconv"
 	"time"
 
 	"quartzpoint/knowledge"
@@ -14,8 +13,8 @@
 // Frame tells which views this server can use.
 func (c *Choice) Frame(origin uint64) knowledge.Frame {
 	f := knowledge.Frame{Terms: knowledge.Digest(c.terms), Origin: origin}
-	for i, t := range c.Types {
-		f.Types = append(f.Types, pick(c.terms, "type."+strconv.Itoa(i)+".name", ""))
+	for _, t := range c.Routes {
+		f.Types = append(f.Types, t.Name)
 		f.Outer = append(f.Outer, t.OuterLimit)
 	}
 	return f
@@ -25,9 +24,9 @@
 func (c *Choice) Learned(now time.Duration, f knowledge.Frame) knowledge.View {
 	v := knowledge.View{Origin: f.Origin, Terms: f.Terms}
 	v.Pace, v.Calls = c.paceSeen.tell(now), c.callSeen.tell(now)
-	for i, t := range c.Types {
+	for _, t := range c.Routes {
 		v.Types = append(v.Types, knowledge.TypeView{
-			Name: f.Types[i], Core: t.coreSeen.tell(now), Run: t.runSeen.tell(now),
+			Name: t.Name, Core: t.coreSeen.tell(now), Run: t.runSeen.tell(now),
 		})
 	}
 	if calls := c.called.sum(now); calls[0]+calls[2] > 0 {
@@ -43,7 +42,7 @@
 // Borrow takes in what others have learned, in the place of what was borrowed before. The view must have
 // passed Frame.Fit for this server.
 func (c *Choice) Borrow(now time.Duration, v knowledge.View) {
-	for i, t := range c.Types {
+	for i, t := range c.Routes {
 		t.lent = lent{told: v.Types[i].Core, kind: knowledge.CoreTime, at: now}
 	}
 	c.lentPace = lent{told: v.Pace, kind: knowledge.Pace, at: now}
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -168,11 +168,11 @@
 	if in.tasks[id] != nil {
 		return fmt.Errorf("task id %d came twice", id)
 	}
-	if service >= len(in.module.Types) {
-		return fmt.Errorf("task of traffic type %d of %d", service, len(in.module.Types))
+	if service >= len(in.module.Routes) {
+		return fmt.Errorf("task of traffic type %d of %d", service, len(in.module.Routes))
 	}
 	t := &choice.Task{
-		Type:     in.module.Types[service],
+		Type:     in.module.Routes[service],
 		HeldKB:   r.F32(11),
 		Arrived:  now - time.Duration(r.U32(58))*time.Microsecond,
 		Due:      time.Duration(r.U64(25)) * time.Microsecond,
--- a/cmd/quartzpoint/reload_test.go
+++ b/cmd/quartzpoint/reload_test.go
@@ -102,3 +102,38 @@
 	assert.Zero(t, p.gone())
 	assert.Less(t, time.Since(began), standin.Patience)
 }
+
+// Settings whose text has not changed are not read again; behind a text of which a part waits for a restart, the first
+// one brings back what had moved.
+func TestTheSameSettingsAgain(t *testing.T) {
+	p := launch(t, "release")
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+	first, err := os.ReadFile(p.path)
+	require.NoError(t, err)
+	other := strings.NewReplacer(`"halt":"suspend"`, `"halt":"none"`, `"cores":4`, `"cores":5`).Replace(string(first))
+	require.NotEqual(t, string(first), other)
+	reload := func(text, want string) {
+		t.Helper()
+		seen := strings.Count(p.log.String(), "new configuration")
+		require.NoError(t, os.WriteFile(p.path, []byte(text), 0o600))
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+		require.Eventually(t, func() bool { return strings.Count(p.log.String(), "new configuration") > seen },
+			standin.Patience, time.Millisecond)
+		lines := strings.Split(strings.TrimSpace(p.log.String()), "\n")
+		last := ""
+		for _, line := range lines {
+			if strings.Contains(line, "new configuration") {
+				last = line
+			}
+		}
+		assert.Contains(t, last, want)
+	}
+	reload(string(first), "moved=map[] only_with_a_restart=[]")
+	reload(other, `moved=map[halt:none] only_with_a_restart="[settings cores]"`)
+	reload(other, `moved=map[] only_with_a_restart="[settings cores]"`)
+	reload(string(first), "moved=map[halt:suspend] only_with_a_restart=[]")
+	reload(string(first), "moved=map[] only_with_a_restart=[]")
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	assert.Zero(t, p.gone())
+}
--- a/cmd/quartzpoint/start.go
+++ b/cmd/quartzpoint/start.go
@@ -9,11 +9,14 @@
 	"net"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
 	"unicode"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/dependency"
 	"quartzpoint/internal/membership"
@@ -35,6 +38,7 @@
 	settings *settings.Settings
 	types    map[string]time.Duration // that a task of each type has
 	agreed   map[string]any           // what the settings say, as asked last
+	sum      uint64                   // of the settings' text, by which one that has not changed is known
 }
 
 // limits are those of the program itself, as stated. Each may be any number above 0.
@@ -58,9 +62,16 @@
 // sockets is the number of descriptors; with fewer than two there is no room for any connection.
 func (l limits) sockets() int { return int(max(2, min(l.Sockets, maxSockets))) }
 
+// largeSettings is the number of settings past which the memory that their reading took is given back at once.
+const largeSettings = 10_000
+
 // told reads the configuration and the two variables that repeat a part of it, and sees that it could be served with:
 // the one check for the start, for a configuration read anew and for the command. The error joins all faults.
-func told(path string) (s start, err error) {
+func told(path string) (start, error) { return toldSince(path, start{}) }
+
+// toldSince does the same behind an earlier reading. Settings whose text is the same are not read again: they are most
+// of the file, and of a large site their reading takes long.
+func toldSince(path string, before start) (s start, err error) {
 	if path == "" {
 		return s, errors.New("EDGE_CONFIG names no configuration; see quartzpoint --help")
 	}
@@ -91,7 +102,11 @@
 	stop := c.positive("stop_ms")
 	s.Stop = time.Duration(min(stop, float64(settings.MaxSpan/time.Millisecond)) * float64(time.Millisecond))
 	s.Limits = limits{c.positive("limits.cores"), c.positive("limits.memory_mb"), c.positive("limits.sockets")}
-	c.settings(&s)
+	if s.sum = xxhash.Sum64(c.keys["settings"]); before.agreed != nil && s.sum == before.sum {
+		s.settings, s.types, s.agreed = before.settings, before.types, before.agreed
+	} else {
+		c.settings(&s)
+	}
 	return s, errors.Join(c.faults...)
 }
 
@@ -238,7 +253,7 @@
 func (s start) again(link *pool.Link, calls *dependency.Caller, reporter *membership.Reporter, owner *server.Server,
 	log *slog.Logger,
 ) start {
-	n, err := told(os.Getenv("EDGE_CONFIG"))
+	n, err := toldSince(os.Getenv("EDGE_CONFIG"), s)
 	if err != nil {
 		log.Warn("new configuration refused, the old one stays", "error", err)
 		return s
@@ -254,7 +269,14 @@
 		index = n.Index
 		calls.Move(index)
 	}
-	moved, settings := settings.Moves(s.agreed, n.agreed)
+	var moved map[string]any
+	var settingNames []string
+	if n.sum != s.sum {
+		moved, settingNames = settings.Moves(s.agreed, n.agreed)
+		if len(n.agreed) > largeSettings { // what was read is as much again as what is kept
+			defer debug.FreeOSMemory()
+		}
+	}
 	var fixed []string
 	for _, key := range []struct {
 		name   string
@@ -262,7 +284,7 @@
 	}{
 		{"name", n.Name != s.Name}, {"listen", n.Listen != s.Listen}, {"limits", n.Limits != s.Limits},
 		{"index", n.Index != index},
-		{"settings " + strings.Join(settings, ","), len(settings) > 0},
+		{"settings " + strings.Join(settingNames, ","), len(settingNames) > 0},
 	} {
 		if key.differ {
 			fixed = append(fixed, key.name)
@@ -276,5 +298,8 @@
 	log.Info("new configuration", "pool", n.Pool, "members", n.Members, "index", index, "stop_ms", n.Stop.Milliseconds(), "moved", moved,
 		"only_with_a_restart", fixed)
 	s.Pool, s.Members, s.Index, s.Stop = n.Pool, n.Members, index, n.Stop
+	if s.sum = n.sum; len(settingNames) > 0 {
+		s.sum = 0 // what is in force is no text that was read
+	}
 	return s
 }
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -15,12 +15,12 @@
 }
 
 // Maker makes the policy of a server, and the traffic types that its tasks point to, in the order of the site's.
-type Maker func(types []Type, m Machine, calls float64, seed int64) (Policy, []*choice.TrafficType)
+type Maker func(types []Type, m Machine, calls float64, seed int64) (Policy, []*choice.Route)
 
 // Own makes the project's own decisions.
-func Own(types []Type, m Machine, calls float64, seed int64) (Policy, []*choice.TrafficType) {
+func Own(types []Type, m Machine, calls float64, seed int64) (Policy, []*choice.Route) {
 	c := choice.New(Terms(types, m, calls), seed)
-	return c, c.Types
+	return c, c.Routes
 }
 
 // The verdicts of an answer.
@@ -60,7 +60,7 @@
 	life   uint64 // events of an earlier one do nothing
 	alive  bool
 	policy Policy
-	types  []*choice.TrafficType
+	types  []*choice.Route
 	pool   *pool
 	began  time.Duration
 
--- a/internal/exchange/asker.go
+++ b/internal/exchange/asker.go
@@ -127,6 +127,15 @@
 	Log    *slog.Logger
 }
 
+// usable is a peer's view in the order of this server's routes, or why it is not used.
+func (a *Asker) usable(view knowledge.View) (knowledge.View, error) {
+	aligned, err := a.Frame.Align(view)
+	if err != nil {
+		return knowledge.View{}, err
+	}
+	return a.Frame.Fit(aligned)
+}
+
 // mostTalks is how many peers a newcomer asks at once, as each takes a descriptor.
 const mostTalks = 16
 
@@ -221,7 +230,7 @@
 			now = time.Since(began)
 			view, err := got.view, got.err
 			if err == nil {
-				view, err = a.Frame.Fit(view)
+				view, err = a.usable(view)
 			}
 			if err == nil && !view.Fresh() {
 				err = errCold
--- a/internal/exchange/talk.go
+++ b/internal/exchange/talk.go
@@ -73,7 +73,7 @@
 	Ballot   []byte        `cbor:"13,keyasint,omitempty"` // of a vote or its answer; package lease reads it
 }
 
-var decoding = strict.Decoding(knowledge.MostTypes, false)
+var decoding = strict.Decoding(knowledge.MaxTold, false)
 
 // pack makes a frame of a message.
 func pack(m message) []byte {
@@ -168,7 +168,7 @@
 }
 
 func packView(v knowledge.View, taken time.Duration) (*packed, error) {
-	raw, err := cbor.Marshal(v)
+	raw, err := cbor.Marshal(v.Told())
 	if err != nil {
 		return nil, fmt.Errorf("view: %w", err)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -55,7 +55,7 @@
 	module   *choice.Choice
 	settings *settings.Settings
 	values   map[string]any // the module's own copy of the settings, which it reads at each decision
-	types    map[string]*choice.TrafficType
+	types    map[string]*choice.Route
 	link     Pool
 	parts    Composer // of tasks that are made of calls
 
@@ -132,7 +132,7 @@
 		numbers: map[string]*number{}, mayKeep: limits.MemoryMB << 20 / numberShare,
 		// What the site's own memory holds of numbers, the decisions bound; that is stated with the settings, as any figure.
 		mostNumbers: max(64, limits.MemoryMB<<20/entryShare/entryBytes),
-		types:       map[string]*choice.TrafficType{},
+		types:       map[string]*choice.Route{},
 		most:        max(64, limits.MemoryMB*1024/taskKB/taskShare),
 		woken:       make(chan struct{}, 1), parts: nothing{},
 		unserved: map[string]bool{},
@@ -173,10 +173,10 @@
 		maps.DeleteFunc(values, func(name string, _ any) bool { return strings.HasSuffix(name, ".skip-share") })
 	}
 	s.module, s.values = choice.New(values, seed), values
-	if len(s.module.Types) != len(s.types) {
-		return nil, fmt.Errorf("%d traffic types stated, %d of them named", len(s.module.Types), len(s.types))
+	if len(s.module.Routes) != len(s.types) {
+		return nil, fmt.Errorf("%d traffic types stated, %d of them named", len(s.module.Routes), len(s.types))
 	}
-	for i, t := range s.module.Types {
+	for i, t := range s.module.Routes {
 		s.types[told.Values[fmt.Sprintf("type.%d.name", i)].(string)] = t
 	}
 	return s, nil
--- a/internal/store/book.go
+++ b/internal/store/book.go
@@ -253,7 +253,7 @@
 	b.nextView++
 	return func() error {
 		raw := appendFrame(nil, 0, 0, h)
-		raw = appendFrame(raw, h.ID, 1, v)
+		raw = appendFrame(raw, h.ID, 1, v.Told())
 		raw = appendFrame(raw, h.ID, 2, end{1})
 		if err := b.place(nameOf(viewName, h.Place), raw); err != nil {
 			return err
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -39,7 +39,7 @@
 	Frames uint64 `cbor:"1,keyasint"`
 }
 
-var decoding = strict.Decoding(knowledge.MostTypes, true) // numbers are callers' own bytes
+var decoding = strict.Decoding(knowledge.MaxTold, true) // numbers are callers' own bytes
 
 // checksum is over the file's id too: what an earlier file left in the same blocks is no record of this one.
 func checksum(id, seq uint64, payload []byte) uint32 {
--- a/knowledge/asking.go
+++ b/knowledge/asking.go
@@ -8,6 +8,9 @@
 const (
 	firstPause = time.Second
 	mostPause  = 15 * time.Second
+	// maxVoices is how many peers' answers a newcomer wants. A listed fleet may be hundreds; the median of a few voices
+	// says as much, and what a start costs must not grow with the fleet.
+	maxVoices = 16
 	// askFor bounds how long after its start a newcomer asks at all: it has seen enough by then, or is so idle
 	// that it needs nobody's word.
 	askFor = 2 * time.Minute
@@ -20,6 +23,7 @@
 	rng   *rand.Rand
 	began time.Duration
 	peers []asked
+	order []int // in which peers are asked: as listed, or drawn where there are more than are wanted
 }
 
 type asked struct {
@@ -34,6 +38,10 @@
 	a := &Asking{rng: rand.New(rand.NewSource(seed)), began: now, peers: make([]asked, peers)}
 	for i := range a.peers {
 		a.peers[i].next = now
+		a.order = append(a.order, i)
+	}
+	if peers > maxVoices {
+		a.order = a.rng.Perm(peers)
 	}
 	return a
 }
@@ -44,9 +52,16 @@
 	if !cold || now > a.began+askFor {
 		return nil
 	}
-	for i := range a.peers {
+	wanted := maxVoices
+	for _, p := range a.peers {
+		if p.answered || p.open {
+			wanted--
+		}
+	}
+	for _, i := range a.order {
 		p := &a.peers[i]
-		if !p.answered && !p.open && now >= p.next {
+		if wanted > 0 && !p.answered && !p.open && now >= p.next {
+			wanted--
 			p.open = true
 			p.tries++
 			due = append(due, i)
@@ -69,12 +84,13 @@
 	if !cold || now > a.began+askFor {
 		return true
 	}
+	answered := 0
 	for _, p := range a.peers {
-		if !p.answered {
-			return false
+		if p.answered {
+			answered++
 		}
 	}
-	return true
+	return answered >= min(len(a.peers), maxVoices)
 }
 
 // Next is the moment of the next ask, or of the end of asking; far off where only asks that are open count.
--- a/knowledge/knowledge_test.go
+++ b/knowledge/knowledge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -249,3 +250,62 @@
 		assert.Less(t, of.asks, 1.0)
 	}
 }
+
+// A view of a large site tells only of routes that something is known of, the busiest first, and comes back in order.
+func TestToldAndAligned(t *testing.T) {
+	const routes = 3300
+	frame, whole := Frame{Terms: 7, Origin: 1}, View{Origin: 2, Terms: 7}
+	for i := range routes {
+		name := fmt.Sprintf("route-%d", i)
+		frame.Types, frame.Outer = append(frame.Types, name), append(frame.Outer, time.Second)
+		told := TypeView{Name: name}
+		if i%3 == 0 {
+			told.Core = Estimate{Mean: 0.1, Samples: float64(i + 1)}
+		}
+		whole.Types = append(whole.Types, told)
+	}
+	told := whole.Told()
+	require.Len(t, told.Types, MaxTold)
+	assert.Len(t, whole.Types, routes, "the view itself stays as it was")
+	aligned, err := frame.Align(told)
+	require.NoError(t, err)
+	fit, err := frame.Fit(aligned)
+	require.NoError(t, err)
+	for i, got := range fit.Types {
+		assert.Equal(t, frame.Types[i], got.Name)
+		busy := i%3 == 0 && i >= routes-3*MaxTold
+		assert.Equal(t, busy, got.Core.Known(), got.Name)
+	}
+
+	for why, change := range map[string]func(v *View){
+		"not here": func(v *View) { v.Types[3].Name = "elsewhere" },
+		"twice":    func(v *View) { v.Types[3].Name = v.Types[4].Name },
+	} {
+		bad := whole.Told()
+		change(&bad)
+		_, err := frame.Align(bad)
+		assert.ErrorContains(t, err, why)
+	}
+}
+
+// A newcomer that is told of hundreds of peers asks some of them, and others in the place of those that are down.
+func TestAskingOfALargeFleet(t *testing.T) {
+	a := NewAsking(500, 0, 3)
+	asked := map[int]bool{}
+	due := a.Due(0, true)
+	assert.Len(t, due, maxVoices)
+	for _, peer := range due {
+		asked[peer] = true
+		a.Ended(peer, time.Millisecond, peer%2 == 0, 0)
+	}
+	for now := 2 * time.Millisecond; !a.Over(now, true); now += time.Millisecond {
+		due := a.Due(now, true)
+		require.NotEmpty(t, due, "others are asked at once")
+		for _, peer := range due {
+			asked[peer] = true
+			a.Ended(peer, now, true, 0)
+		}
+	}
+	assert.Less(t, len(asked), 3*maxVoices)
+	assert.Empty(t, a.Due(time.Hour, true))
+}
--- a/knowledge/view.go
+++ b/knowledge/view.go
@@ -7,6 +7,7 @@
 package knowledge
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -17,8 +18,11 @@
 )
 
 const (
-	// MostTypes bounds the traffic types of a view; a site states fewer, and a peer's word must not fill memory.
-	MostTypes = 256
+	// MaxTold bounds the routes that a view tells others of, however many there are: a newcomer needs those that
+	// carry the load, and a peer's word must not fill memory.
+	MaxTold = 256
+	// MaxRoutes bounds the routes of a server whose views are used at all.
+	MaxRoutes = 1 << 14
 	// MostName bounds the bytes of a traffic type's name.
 	MostName = 128
 
@@ -104,6 +108,48 @@
 	Outer  []time.Duration // outer limit of each
 }
 
+// Told is the view as it is told to others: only the routes that something is known of, and of more than MaxTold those
+// that the most samples stand behind.
+func (v View) Told() View {
+	known := slices.DeleteFunc(slices.Clone(v.Types), func(t TypeView) bool { return !t.Core.Known() && !t.Run.Known() })
+	if len(known) > MaxTold {
+		slices.SortStableFunc(known, func(a, b TypeView) int { return cmp.Compare(b.samples(), a.samples()) })
+		known = known[:MaxTold]
+	}
+	v.Types = known
+	return v
+}
+
+func (t TypeView) samples() float64 { return max(t.Core.Samples, t.Run.Samples) }
+
+// Align puts the routes that a view tells of into the order of the frame, with nothing known of the others. A view that
+// tells of a route that is not in the frame, or of one twice, is of other terms.
+func (f Frame) Align(v View) (View, error) {
+	if len(v.Types) == len(f.Types) {
+		return v, nil // Fit sees to the names
+	}
+	places := make(map[string]int, len(v.Types))
+	for i, t := range v.Types {
+		if _, again := places[t.Name]; again {
+			return View{}, fmt.Errorf("view that tells of route %q twice", t.Name)
+		}
+		places[t.Name] = i
+	}
+	aligned := make([]TypeView, len(f.Types))
+	for i, name := range f.Types {
+		aligned[i].Name = name
+		if place, told := places[name]; told {
+			aligned[i] = v.Types[place]
+			delete(places, name)
+		}
+	}
+	if len(places) > 0 {
+		return View{}, fmt.Errorf("view that tells of %d routes that are not here", len(places))
+	}
+	v.Types = aligned
+	return v, nil
+}
+
 // Fit returns the view with all that is out of range dropped, or an error that says why it is not used at all.
 // A peer's word is checked here and nowhere later.
 func (f Frame) Fit(v View) (View, error) {
@@ -112,7 +158,7 @@
 		return View{}, fmt.Errorf("view of other terms: %016x, and %016x here", v.Terms, f.Terms)
 	case v.Origin == f.Origin:
 		return View{}, fmt.Errorf("view of this server's own")
-	case len(v.Types) > MostTypes || len(v.Types) != len(f.Types):
+	case len(v.Types) > MaxRoutes || len(v.Types) != len(f.Types):
 		return View{}, fmt.Errorf("view of %d traffic types, and %d here", len(v.Types), len(f.Types))
 	}
 	v.Types = slices.Clone(v.Types)
--- a/recovery/decide.go
+++ b/recovery/decide.go
@@ -168,7 +168,10 @@
 			continue
 		}
 		// Frame.Fit is a peer's gate, and a file's: what it lets through can be acted on.
-		fit, err := here.Frame.Fit(*f.View)
+		fit, err := here.Frame.Align(*f.View)
+		if err == nil {
+			fit, err = here.Frame.Fit(fit)
+		}
 		if err != nil {
 			p.note(f.Name, err.Error())
 			continue
