--- /dev/null
+++ b/configuration/configuration_test.go
@@ -0,0 +1,212 @@
+package configuration
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain draws the same cases every time; another seed is stated with -rapid.seed.
+func TestMain(m *testing.M) {
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		_ = seed.Value.Set("20261202")
+	}
+	m.Run()
+}
+
+func route(deadline int64) *Route {
+	return &Route{LatencyTarget: 1000, Deadline: deadline, Value: 1, Idempotency: Retryable}
+}
+
+// drawn is a change that a document may accept, of a few names, so that they come again.
+func drawn(t *rapid.T, d *Document) Change {
+	change := Change{Whole: rapid.Float64Range(0, 1).Draw(t, "whole") > 0.9, Routes: map[string]*Route{"always": route(1)}, Tenants: map[string]*Tenant{}}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 0, 6, rapid.ID).Draw(t, "names") {
+		name := fmt.Sprint("name", i)
+		if _, there := d.Routes[name]; there && rapid.Bool().Draw(t, "remove") {
+			change.Routes[name] = nil
+		} else {
+			change.Routes[name] = route(rapid.Int64Range(1, 3).Draw(t, "deadline"))
+		}
+		if _, there := d.Tenants[name]; there && rapid.Bool().Draw(t, "remove") {
+			change.Tenants[name] = nil
+		} else {
+			change.Tenants[name] = &Tenant{Rate: rapid.Float64Range(0, 3).Draw(t, "rate")}
+		}
+	}
+	return change
+}
+
+// A snapshot of any version with the deltas behind it is the whole, in content, digest and bytes; a history that was
+// kept and read again gives the same; and what a watcher of any version lacks takes it to the newest.
+func TestSnapshotAndDeltasAreTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHistory(NewDocument())
+		snapshots := [][]byte{h.Document.Snapshot()}
+		for i := range rapid.IntRange(1, 12).Draw(t, "changes") {
+			change := drawn(t, h.Document)
+			version, err := h.Accept(change)
+			require.NoError(t, err)
+			require.Equal(t, uint64(i+1), version)
+			snapshots = append(snapshots, h.Document.Snapshot())
+		}
+		kept, err := ReadHistory(h.Bytes())
+		require.NoError(t, err)
+		assert.Equal(t, h.Bytes(), kept.Bytes())
+		for version, raw := range snapshots {
+			d, err := ReadSnapshot(raw)
+			require.NoError(t, err)
+			straight := d.Clone()
+			require.NoError(t, straight.applyAny(Between(d, h.Document)))
+			deltas, whole := kept.Since(uint64(version))
+			require.False(t, whole)
+			for _, raw := range deltas {
+				delta, err := ReadDelta(raw)
+				require.NoError(t, err)
+				require.NoError(t, d.Apply(delta))
+			}
+			assert.Equal(t, h.Document, d)
+			assert.Equal(t, h.Document, straight)
+			assert.Equal(t, h.Document.Snapshot(), d.Snapshot())
+		}
+	})
+}
+
+// applyAny takes a delta of any two versions.
+func (d *Document) applyAny(delta Delta) error {
+	d.Version = delta.Version - 1
+	return d.Apply(delta)
+}
+
+// A delta that does not follow, or of which a part is another, changes nothing; nor does a snapshot with any byte wrong
+// pass for one, unless its content is the same.
+func TestDamageIsDroppedWhole(t *testing.T) {
+	h := NewHistory(NewDocument())
+	for i := range 3 {
+		_, err := h.Accept(Change{Routes: map[string]*Route{fmt.Sprint("r", i): route(1)}, Tenants: map[string]*Tenant{"t": {Rate: float64(i)}}})
+		require.NoError(t, err)
+	}
+	d := NewDocument()
+	deltas, _ := h.Since(0)
+	first, err := ReadDelta(deltas[0])
+	require.NoError(t, err)
+	require.NoError(t, d.Apply(first))
+	before := d.Clone()
+	for name, raw := range map[string][]byte{"again": deltas[0], "one left out": deltas[2]} {
+		delta, err := ReadDelta(raw)
+		require.NoError(t, err, name)
+		assert.ErrorIs(t, d.Apply(delta), ErrDamaged, name)
+		assert.Equal(t, before, d, name)
+	}
+	second, err := ReadDelta(deltas[1])
+	require.NoError(t, err)
+	second.Tenants["t"].Rate = 7
+	second.Routes["other"] = nil
+	assert.ErrorIs(t, d.Apply(second), ErrDamaged)
+	assert.Equal(t, before, d)
+
+	whole := h.Document.Snapshot()
+	for i := range whole {
+		for _, bit := range []byte{1, 0x80} {
+			bad := slices.Clone(whole)
+			bad[i] ^= bit
+			if got, err := ReadSnapshot(bad); err == nil {
+				got.Version = h.Document.Version // the version is not content; who asks for one sees to it
+				assert.Equal(t, h.Document, got, "byte %d", i)
+			}
+		}
+		_, err := ReadSnapshot(whole[:i])
+		assert.ErrorIs(t, err, ErrDamaged, "cut at %d", i)
+	}
+}
+
+// Every fault of a change is told at once, by key, and nothing is taken of it.
+func TestFaults(t *testing.T) {
+	h := NewHistory(NewDocument())
+	_, err := h.Accept(Change{ID: "first", Routes: map[string]*Route{"pay": route(9)}, Tenants: map[string]*Tenant{"north": {Rate: 1}}})
+	require.NoError(t, err)
+	before := h.Document.Clone()
+	var change Change
+	require.NoError(t, json.Unmarshal([]byte(`{"base":7,"routes":{"":{"goal-time":1,"deadline":1,"idempotency":"retryable"},
+"look":{"goal-time":0,"deadline":-1,"gain":-2,"late-value":1.5,"idempotency":"often","skip-worth":2,"dedup-window":-1},
+"key":{"goal-time":1,"deadline":1,"idempotency":"dedup"},"gone":null,"pay":null},
+"tenants":{"south":{"quota-rps":-1,"fraction":3},"west":null}}`), &change))
+	_, err = h.Accept(change)
+	var refusal *Refusal
+	require.ErrorAs(t, err, &refusal)
+	var keys []string
+	for _, f := range refusal.Faults {
+		keys = append(keys, f.Key)
+	}
+	assert.Equal(t, []string{
+		"base", `routes.""`, "routes.gone", "routes.key.dedup-window", "routes.look.deadline", "routes.look.dedup-window",
+		"routes.look.gain", "routes.look.goal-time", "routes.look.idempotency", "routes.look.late-value",
+		"routes.look.skip-worth", "tenants.south.fraction", "tenants.south.quota-rps", "tenants.west",
+	}, keys)
+	assert.Equal(t, before, h.Document)
+
+	for name, c := range map[string]Change{
+		"nothing named":     {},
+		"no route left":     {Routes: map[string]*Route{"pay": nil}},
+		"whole, without":    {Whole: true, Tenants: map[string]*Tenant{"north": {}}},
+		"an id too long":    {ID: string(make([]byte, MaxID+1)), Routes: map[string]*Route{"pay": route(1)}},
+		"a name too long":   {Routes: map[string]*Route{string(make([]byte, MaxName+1)): route(1)}},
+		"a rate of no size": {Tenants: map[string]*Tenant{"north": {Rate: nan()}}},
+	} {
+		_, err := h.Accept(c)
+		assert.ErrorAs(t, err, &refusal, name)
+		assert.Equal(t, before, h.Document, name)
+	}
+}
+
+func nan() float64 { zero := 0.0; return zero / zero }
+
+// The same change sent twice is accepted once, and a change made on an older version not at all.
+func TestOnceAndInOrder(t *testing.T) {
+	h := NewHistory(NewDocument())
+	change := Change{ID: "a", Routes: map[string]*Route{"pay": route(1)}}
+	for range 3 {
+		version, err := h.Accept(change)
+		require.NoError(t, err)
+		assert.Equal(t, uint64(1), version)
+	}
+	base := uint64(1)
+	_, err := h.Accept(Change{ID: "b", Base: &base, Routes: map[string]*Route{"pay": route(2)}})
+	require.NoError(t, err)
+	_, err = h.Accept(Change{ID: "c", Base: &base, Routes: map[string]*Route{"pay": route(3)}})
+	assert.ErrorContains(t, err, "base = 1: is not the newest version, which is 2")
+	again, err := ReadHistory(h.Bytes())
+	require.NoError(t, err)
+	version, err := again.Accept(change)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(1), version, "ids outlast a restart")
+}
+
+// What is kept for watchers is bounded; one that is too far behind, or ahead of this history, wants a snapshot.
+func TestSince(t *testing.T) {
+	h := NewHistory(NewDocument())
+	for i := range maxKept + 10 {
+		_, err := h.Accept(Change{ID: fmt.Sprint(i), Routes: map[string]*Route{"pay": route(int64(i%2 + 1))}})
+		require.NoError(t, err)
+	}
+	newest := h.Document.Version
+	deltas, whole := h.Since(newest)
+	assert.Empty(t, deltas)
+	assert.False(t, whole)
+	deltas, whole = h.Since(newest - maxKept)
+	assert.Len(t, deltas, maxKept)
+	assert.False(t, whole)
+	for _, version := range []uint64{0, newest - maxKept - 1, newest + 1} {
+		_, whole = h.Since(version)
+		assert.True(t, whole, version)
+	}
+	assert.Len(t, h.ids, maxIDs)
+	assert.Len(t, slices.Collect(maps.Keys(h.ids)), maxIDs)
+}
