Routes and tenants change in a running server, each at the cost of its own size

Peers' views name their routes, so they can be read while routes come and go. Nothing calls it yet: without [configuration] all is as before.

--- a/choice/newcomer_test.go
+++ b/choice/newcomer_test.go
@@ -68,7 +68,7 @@
 		types: types, machine: m, module: choice.New(values, 1), load: load, now: time.Second,
 		of: map[*choice.Task]*playedTask{}, answers: map[*choice.Task]int{},
 	}
-	p.frame = p.module.Frame(origin)
+	p.frame = p.module.Frame(origin, false)
 	p.module.Decide(&choice.Round{Now: p.now}, p)
 	return p
 }
--- a/choice/table.go
+++ b/choice/table.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// Tenants is the number of places in the table of tenants.
+func (c *Choice) Tenants() int { return len(c.tenants.rates) }
+
+// TenantRate is the rate stated of the tenant at a place, in requests a second over the whole fleet.
+func (c *Choice) TenantRate(place int) float64 { return c.tenants.rate(place) }
+
+// Stated is the route as it was stated, with nothing of what was learned.
+func (t *Route) Stated() Route {
+	stated := *t
+	stated.place, stated.learned = 0, nil
+	return stated
+}
+
 // tenants are those who share the fleet, by their places: the rate that each may ask of it, and what it asked for here.
 type tenants struct {
 	rates []float64 // a second
--- /dev/null
+++ b/choice/table_test.go
@@ -0,0 +1,85 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// Whatever comes and goes, in any order, the table holds what is stated and nothing else, each route at its place, and
+// what was learned of one outlasts its being stated anew.
+func TestTableOfRoutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(map[string]any{"types": 1.0, "type.0.name": "first", "type.0.contract-time": time.Second}, 1)
+		live := map[string]*Route{"first": c.Routes[0]}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "name"))
+			was := live[name]
+			if was != nil && rapid.Bool().Draw(t, "remove") {
+				c.busy[was.learned] = true
+				c.Remove(was)
+				assert.False(t, c.busy[was.learned])
+				delete(live, name)
+				continue
+			}
+			stated := Route{Name: name, Importance: rapid.Float64Range(0, 9).Draw(t, "value"), ContractTime: time.Second}
+			now := c.Put(was, stated)
+			if was != nil {
+				assert.Same(t, was.learned, now.learned)
+			}
+			assert.Equal(t, stated, now.Stated())
+			live[name] = now
+		}
+		assert.Len(t, c.Routes, len(live))
+		for place, route := range c.Routes {
+			assert.Equal(t, place, route.place)
+			assert.Same(t, live[route.Name], route)
+		}
+	})
+}
+
+// Only routes whose runs ended lately are looked at for a latency that has risen; that one is still seen.
+func TestOnlyBusyRoutesAreLookedAt(t *testing.T) {
+	b := newBench(nil)
+	for i := range 50 {
+		b.Put(nil, Route{Name: fmt.Sprint("idle", i), ContractTime: time.Second, OuterLimit: time.Second})
+	}
+	ends := func(took time.Duration) {
+		x := b.task("x", 0)
+		b.round(Round{Arrived: []*Task{x}})
+		b.round(Round{Ended: []Ending{{Task: x, Outcome: Done, Took: took}}})
+	}
+	for range 200 {
+		ends(10 * time.Millisecond)
+	}
+	assert.Len(t, b.busy, 1)
+	b.pass(10*time.Second, Gauges{})
+	assert.Empty(t, b.busy, "its runs ended long ago")
+	for range 8 {
+		ends(time.Second)
+	}
+	b.event = false
+	b.pass(sweep, Gauges{})
+	assert.True(t, b.event, "latency has risen")
+}
+
+// A tenant that has asked for nothing costs no more than its rate, and one past the table is nobody's.
+func TestTableOfTenants(t *testing.T) {
+	c := New(map[string]any{"customers": 2.0, "customer.0.rate": 4.0}, 1)
+	assert.Equal(t, 2, c.Tenants())
+	c.PutTenant(2, 9, true)
+	c.tenants.add(2, time.Second)
+	c.tenants.add(7, time.Second)
+	assert.Equal(t, 0.1, c.tenants.asked(2, time.Second))
+	assert.Zero(t, c.tenants.asked(0, time.Second))
+	assert.Zero(t, c.tenants.asked(7, time.Second))
+	assert.Nil(t, c.tenants.seen[0])
+	c.PutTenant(2, 3, false)
+	assert.Equal(t, 0.1, c.tenants.asked(2, time.Second), "its rate moved, not what it asked for")
+	assert.Equal(t, 3.0, c.TenantRate(2))
+	c.PutTenant(2, 3, true)
+	assert.Zero(t, c.tenants.asked(2, time.Second), "another's place now")
+}
--- a/choice/view.go
+++ b/choice/view.go
@@ -10,9 +10,9 @@
 // after a change.
 const sightSpan = 32
 
-// Frame tells which views this server can use.
-func (c *Choice) Frame(origin uint64) knowledge.Frame {
-	f := knowledge.Frame{Terms: knowledge.Digest(c.terms), Origin: origin}
+// Frame tells which views this server can use; moving says that its routes come and go.
+func (c *Choice) Frame(origin uint64, moving bool) knowledge.Frame {
+	f := knowledge.Frame{Terms: knowledge.Digest(c.terms, moving), Origin: origin, Moving: moving}
 	for _, t := range c.Routes {
 		f.Types = append(f.Types, t.Name)
 		f.Outer = append(f.Outer, t.OuterLimit)
@@ -40,10 +40,14 @@
 }
 
 // Borrow takes in what others have learned, in the place of what was borrowed before. The view must have
-// passed Frame.Fit for this server.
+// passed Frame.Fit for this server; its routes are known by their names, as some may have come or gone since.
 func (c *Choice) Borrow(now time.Duration, v knowledge.View) {
-	for i, t := range c.Routes {
-		t.lent = lent{told: v.Types[i].Core, kind: knowledge.CoreTime, at: now}
+	told := make(map[string]knowledge.Estimate, len(v.Types))
+	for _, t := range v.Types {
+		told[t.Name] = t.Core
+	}
+	for _, t := range c.Routes {
+		t.lent = lent{told: told[t.Name], kind: knowledge.CoreTime, at: now}
 	}
 	c.lentPace = lent{told: v.Pace, kind: knowledge.Pace, at: now}
 	c.lentCalls = lent{told: v.Calls, kind: knowledge.CallTime, at: now}
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -107,7 +107,7 @@
 // learn asks up to three running servers what they know, as a newcomer with [peers] does.
 func (s *server) learn(c *choice.Choice) {
 	w := s.world
-	frame := c.Frame(uint64(s.number)<<32 | s.life)
+	frame := c.Frame(uint64(s.number)<<32|s.life, false)
 	var views []knowledge.View
 	for _, i := range w.chance.Perm(len(w.servers)) {
 		other := w.servers[i]
@@ -115,7 +115,7 @@
 		if other == s || !other.alive || !own || len(views) == 3 {
 			continue
 		}
-		if view, err := frame.Fit(peer.Learned(w.now, peer.Frame(uint64(other.number)<<32|other.life))); err == nil {
+		if view, err := frame.Fit(peer.Learned(w.now, peer.Frame(uint64(other.number)<<32|other.life, false))); err == nil {
 			views = append(views, view)
 		}
 	}
--- a/internal/scale/fleets.go
+++ b/internal/scale/fleets.go
@@ -22,6 +22,7 @@
 	seriesVoterTalks     = "lease talks/s a voter by voters"
 	seriesVoterBytes     = "lease bytes/s a voter by voters"
 	seriesVoterCore      = "lease core % a voter by voters"
+	seriesDutiesHeld     = "duties held after 20 s by duties"
 	seriesDutyTalks      = "lease talks/s a voter by duties"
 	seriesDutyBytes      = "lease bytes/s a voter by duties"
 	seriesDutyCore       = "lease core % a voter by duties"
@@ -78,6 +79,14 @@
 	return 3 * time.Second
 }
 
+// dutyWait is how long duties are waited for.
+func (f *Fleets) dutyWait() time.Duration {
+	if f.Small {
+		return healWait / 4
+	}
+	return healWait
+}
+
 // sizes are the numbers of servers that fleets are measured at.
 func (f *Fleets) sizes() []int {
 	if f.Small {
@@ -116,6 +125,9 @@
 	sizes := f.sizes()
 	for _, servers := range sizes {
 		err := f.with(ctx, servers, f.spec(someVoters, 1), func(fleet *Fleet) error {
+			if _, err := fleet.held(ctx, healWait, 1); err != nil {
+				return err
+			}
 			x := float64(servers)
 			quiet, _, err := during(fleet, f.span(), someVoters, nil)
 			if err != nil {
@@ -153,9 +165,6 @@
 	if _, err := fleet.Warm(ctx); err != nil {
 		return fmt.Errorf("%d servers: %w", servers, err)
 	}
-	if _, err := fleet.held(ctx, healWait, spec.Duties); err != nil {
-		return fmt.Errorf("%d servers: %w", servers, err)
-	}
 	if err := measure(fleet); err != nil {
 		return fmt.Errorf("%d servers: %w", servers, err)
 	}
@@ -234,6 +243,9 @@
 func (f *Fleets) byVoters(ctx context.Context, points Points) error {
 	for _, voters := range f.few(3, 5, 10, 20, 40) {
 		err := f.with(ctx, voters, f.spec(voters, 1), func(fleet *Fleet) error {
+			if _, err := fleet.held(ctx, healWait, 1); err != nil {
+				return err
+			}
 			used, _, err := during(fleet, 2*f.span(), voters, nil)
 			points.Add(seriesVoterTalks, float64(voters), used.voterTalks)
 			points.Add(seriesVoterBytes, float64(voters), used.voterBytes)
@@ -251,6 +263,15 @@
 func (f *Fleets) byDuties(ctx context.Context, points Points) error {
 	for _, duties := range f.few(1, 8, 16, 32, 64) {
 		err := f.with(ctx, someVoters, f.spec(someVoters, duties), func(fleet *Fleet) error {
+			// Where they are more than the voters can carry, some are never held; that is a figure, not a failure.
+			if _, err := fleet.held(ctx, f.dutyWait(), duties); err != nil && !errors.Is(err, errNotHeld) {
+				return err
+			}
+			held, err := fleet.holders()
+			if err != nil {
+				return err
+			}
+			points.Add(seriesDutiesHeld, float64(duties), float64(held))
 			used, _, err := during(fleet, 2*f.span(), someVoters, nil)
 			points.Add(seriesDutyTalks, float64(duties), used.voterTalks)
 			points.Add(seriesDutyBytes, float64(duties), used.voterBytes)
@@ -332,6 +353,9 @@
 	return nil
 }
 
+// errNotHeld tells that not as many duties are held as were waited for.
+var errNotHeld = errors.New("duties held")
+
 // holders is how many servers of a fleet may act on a duty now, summed over the duties.
 func (f *Fleet) holders() (n int, err error) {
 	for _, one := range f.children {
@@ -359,7 +383,7 @@
 		case n == want:
 			return time.Since(began), nil
 		case time.Since(began) > wait || ctx.Err() != nil:
-			return 0, fmt.Errorf("hollow: %d holders after %v, and not %d", n, wait, want)
+			return 0, fmt.Errorf("hollow: %w: %d after %v, and not %d", errNotHeld, n, wait, want)
 		}
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -46,6 +46,7 @@
 	Calls             bool // runs say when they are at a call, and there is a dependency for it
 	Omits             bool // they can go on without
 	Spins             int  // looks for more before the owner rests; its waking costs more than a few of them
+	Moving            bool // routes and tenants come and go in service
 	RunsStay          bool // a run holds its place until it ends, however long ago it was answered
 }
 
@@ -64,6 +65,8 @@
 	calls      uint64          // made so far
 	unserved   map[string]bool // types that call, where there is no dependency
 
+	tables tableQueue
+
 	fronts []Front
 	counts *check.Counts
 	log    *slog.Logger
@@ -254,7 +257,7 @@
 // Share has what the server learned left with put, once a second at the most and in the owner's turn, so put must
 // not wait. It is called before Run. The frame says which views the server can Borrow.
 func (s *Server) Share(origin uint64, put func(view knowledge.View, at time.Duration)) knowledge.Frame {
-	s.origin, s.share = s.module.Frame(origin), put
+	s.origin, s.share = s.module.Frame(origin, s.limits.Moving), put
 	return s.origin
 }
 
@@ -320,6 +323,7 @@
 			again = len(batch) > 0
 			clear(batch)
 		}
+		s.changeTables()
 		now := s.Now()
 		s.alarm(now)
 		s.dueChecks(now)
--- /dev/null
+++ b/internal/server/tables_test.go
@@ -0,0 +1,197 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/choice"
+	"quartzpoint/internal/settings"
+	"quartzpoint/internal/standin"
+)
+
+func stated(name string, deadline time.Duration) *choice.Route {
+	return &choice.Route{Name: name, Importance: 1, LateShare: 0.5, ContractTime: time.Second, OuterLimit: deadline}
+}
+
+// change has the tables become different and waits until all of it is in force.
+func (b *bench) change(t *testing.T, change TableChange) {
+	t.Helper()
+	done := make(chan struct{})
+	change.Done = func() { close(done) }
+	b.ChangeTables(change)
+	select {
+	case <-done:
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "the tables have not changed")
+	}
+}
+
+// A route is added, stated anew and removed while requests of it run: each ends under what it was taken in under, and is
+// answered once; a new request of a removed route gets the answer of an unknown one.
+func TestRoutesChangeInService(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	b.ask(1, "quote", time.Minute)
+	assert.Equal(t, Dismissed, b.next(t).Verdict, "not known yet")
+
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "quote", Route: stated("quote", time.Minute)}}})
+	b.ask(2, "quote", time.Minute)
+	first := b.pool.Next(t, "spawn")
+
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "quote", Route: stated("quote", 2*time.Second)}}})
+	b.ask(3, "quote", time.Minute)
+	second := b.pool.Next(t, "spawn")
+	late := b.next(t)
+	assert.Equal(t, []any{uint32(3), GivenUp}, []any{late.stream, late.Verdict}, "the later one has the shorter deadline")
+	b.pool.Finish(second.Task, "interrupted", nil)
+
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "quote"}}})
+	b.ask(4, "quote", time.Minute)
+	gone := b.next(t)
+	assert.Equal(t, []any{uint32(4), Dismissed}, []any{gone.stream, gone.Verdict}, "removed")
+	b.pool.Finish(first.Task, "success", []byte("done"))
+	got := b.next(t)
+	assert.Equal(t, answered{2, Answer{Verdict: Honoured, Result: []byte("done")}}, got, "what was in flight is finished")
+	assert.Empty(t, b.answers)
+}
+
+// What was learned of a route stays when it is stated anew, and is gone with it when it is removed.
+func TestWhatWasLearnedStays(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	for stream := range uint32(3) {
+		b.ask(stream+1, "pay", time.Minute)
+		b.pool.Finish(b.pool.Next(t, "spawn").Task, "success", nil)
+		b.next(t)
+	}
+	samples := func() (n float64) {
+		b.inTurn(func() {
+			for _, told := range b.module.Learned(b.Now(), b.origin).Types {
+				if told.Name == "pay" {
+					n = told.Run.Samples
+				}
+			}
+		})
+		return n
+	}
+	require.Equal(t, 3.0, samples())
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "pay", Route: stated("pay", time.Minute)}}})
+	assert.Equal(t, 3.0, samples())
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "pay"}}})
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "pay", Route: stated("pay", time.Minute)}}})
+	assert.Zero(t, samples())
+}
+
+// A key that was used stays used for its window, whatever becomes of its route meanwhile: nothing runs twice.
+func TestWindowsOutlastTheirRoute(t *testing.T) {
+	b := newBenchWith(t, standin.Site, Limits{MemoryMB: 96, Sockets: 256, Numbers: true}, nil)
+	b.pool.Ready()
+	keyed := stated("charge", time.Minute)
+	keyed.Repeats, keyed.Window = choice.Numbered, time.Hour
+	put := TableChange{Routes: []settings.RouteChange{{Name: "charge", Route: keyed}}}
+	ask := func(stream uint32) {
+		b.Post(func() {
+			b.Take(Asked{
+				ID: standin.Call(stream), Type: "charge", HeldKB: 1, Rank: 0.9, Came: time.Now().UnixMilli(), Waits: time.Minute,
+				Caller: b, Stream: stream, Number: "once", Shape: 1,
+			})
+		})
+	}
+	b.change(t, put)
+	ask(1)
+	run := b.pool.Next(t, "spawn")
+	b.pool.Finish(run.Task, "success", []byte("done"))
+	assert.Equal(t, Honoured, b.next(t).Verdict)
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "charge"}}})
+	b.change(t, put)
+	shorter := *keyed
+	shorter.Window = time.Millisecond
+	b.change(t, TableChange{Routes: []settings.RouteChange{{Name: "charge", Route: &shorter}}})
+	ask(2)
+	assert.Equal(t, answered{2, Answer{Verdict: Honoured, Result: []byte("done")}}, b.next(t), "answered from the first")
+}
+
+// Tenants come, change and go; what one has asked for counts on when its rate changes, and not for another that takes
+// its place later. A place is not taken while requests of the one that left it may still be here.
+func TestTenantsChangeInService(t *testing.T) {
+	b := newBenchWith(t, standin.Site, Limits{MemoryMB: 96, Sockets: 256, Customers: true}, nil)
+	b.pool.Ready()
+	tenant := func(name string, rate float64) TableChange {
+		return TableChange{Tenants: []settings.TenantChange{{Name: name, Rate: rate}}}
+	}
+	removed := func(name string) TableChange {
+		return TableChange{Tenants: []settings.TenantChange{{Name: name, Removed: true}}}
+	}
+	place := func(name string) (place int) {
+		b.inTurn(func() { place = b.Customer(name) })
+		return place
+	}
+	unknown := place("north")
+	b.change(t, tenant("north", 5))
+	assert.Equal(t, 0, place("north"))
+	b.Post(func() {
+		b.Take(Asked{ID: "a", Type: "pay", HeldKB: 1, Rank: 0.9, Came: time.Now().UnixMilli(), Waits: time.Minute, Caller: b})
+	})
+	run := b.pool.Next(t, "spawn")
+	b.change(t, tenant("north", 7))
+	_, rates := b.Tables()
+	assert.Equal(t, map[string]float64{"north": 7}, rates)
+	b.change(t, removed("north"))
+	assert.Equal(t, unknown, place("north"), "nobody's")
+	b.change(t, tenant("south", 1))
+	assert.Equal(t, 1, place("south"), "a request of north is still here")
+	b.pool.Finish(run.Task, "success", nil)
+	b.next(t)
+	b.change(t, removed("south"))
+	b.change(t, tenant("west", 1))
+	assert.Equal(t, 2, place("west"), "the place of north is the oldest, and not free for the deadline of what was here")
+	b.inTurn(func() { b.tables.free[0].from = 0 })
+	b.change(t, tenant("east", 1))
+	assert.Equal(t, 0, place("east"))
+}
+
+// A change of a whole table is made a part in each round: requests are answered meanwhile, and it is in force in order
+// with those before and behind it.
+func TestALargeChangeIsSpread(t *testing.T) {
+	b := newBench(t)
+	b.pool.Ready()
+	const many = 40 * changesPerRound
+	large := TableChange{}
+	for i := range many {
+		large.Routes = append(large.Routes, settings.RouteChange{Name: fmt.Sprint("r", i), Route: stated("r", time.Second)})
+	}
+	done := make(chan struct{})
+	counted := make(chan int, 1)
+	large.Done = func() { counted <- len(b.types) }
+	b.ChangeTables(large)
+	seen := 0
+	var step func()
+	step = func() {
+		left := 0
+		if len(b.tables.changes) > 0 {
+			left = len(b.tables.changes[0].Routes)
+		}
+		if seen > 0 && left > 0 {
+			assert.LessOrEqual(t, seen-left, (mostPasses+1)*changesPerRound, "a part in each round")
+		}
+		if seen = left; left > 0 {
+			b.Post(step)
+		}
+	}
+	b.Post(step)
+	b.ChangeTables(TableChange{Routes: []settings.RouteChange{{Name: "r0"}}, Done: func() { close(done) }})
+	b.ask(1, "pay", time.Minute)
+	b.pool.Finish(b.pool.Next(t, "spawn").Task, "success", nil)
+	assert.Equal(t, Honoured, b.next(t).Verdict)
+	select {
+	case <-done:
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "the change is not in force")
+	}
+	assert.Equal(t, many+2, <-counted, "with the two that were there")
+	b.inTurn(func() { assert.Len(t, b.types, many+1) })
+}
--- a/knowledge/view.go
+++ b/knowledge/view.go
@@ -65,11 +65,12 @@
 }
 
 // Digest tells terms apart: views learned under other traffic types are of no use. Cores, memory and the number
-// of servers are not in it, as pace and core time allow for another machine.
-func Digest(terms map[string]any) uint64 {
+// of servers are not in it, as pace and core time allow for another machine; nor are routes where they move, as those
+// are known by their names.
+func Digest(terms map[string]any, moving bool) uint64 {
 	var lines []string
 	for name, value := range terms {
-		if strings.HasPrefix(name, "type.") || name == "importance-by" || name == "idle" {
+		if strings.HasPrefix(name, "type.") && !moving || name == "importance-by" || name == "idle" {
 			lines = append(lines, fmt.Sprintf("%s=%v", name, value))
 		}
 	}
@@ -106,6 +107,7 @@
 	Origin uint64          // its own, whose views it does not take from others
 	Types  []string        // names, in the order of the terms
 	Outer  []time.Duration // outer limit of each
+	Moving bool            // routes come and go in service: a view may tell of some that are not here
 }
 
 // Told is the view as it is told to others: only the routes that something is known of, and of more than MaxTold those
@@ -123,9 +125,9 @@
 func (t TypeView) samples() float64 { return max(t.Core.Samples, t.Run.Samples) }
 
 // Align puts the routes that a view tells of into the order of the frame, with nothing known of the others. A view that
-// tells of a route that is not in the frame, or of one twice, is of other terms.
+// tells of a route twice, or of one that is not in the frame and cannot be, is of other terms.
 func (f Frame) Align(v View) (View, error) {
-	if len(v.Types) == len(f.Types) {
+	if len(v.Types) == len(f.Types) && !f.Moving {
 		return v, nil // Fit sees to the names
 	}
 	places := make(map[string]int, len(v.Types))
@@ -143,7 +145,7 @@
 			delete(places, name)
 		}
 	}
-	if len(places) > 0 {
+	if len(places) > 0 && !f.Moving {
 		return View{}, fmt.Errorf("view that tells of %d routes that are not here", len(places))
 	}
 	v.Types = aligned
