--- /dev/null
+++ b/cmd/quartzconfig/status.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"quartzpoint/internal/configwatch"
+)
+
+// asking is the command that tells how the service and the fleet stand.
+type asking struct {
+	service
+	JSON bool          `name:"json" help:"Print it as JSON; times in nanoseconds."`
+	Wait time.Duration `default:"5s" help:"How long to try."`
+}
+
+// standing is what all machines that answered say together.
+type standing struct {
+	Leader   string                      `json:"leader"`
+	Version  uint64                      `json:"version"`
+	Watchers int                         `json:"watchers"`
+	P50      time.Duration               `json:"lag_p50_ns"` // from the acceptance of a change to its being in force
+	P99      time.Duration               `json:"lag_p99_ns"`
+	Worst    time.Duration               `json:"lag_worst_ns"`
+	Reports  int                         `json:"reports"` // that the lags are of
+	Machines []configwatch.MachineStatus `json:"machines"`
+	Silent   []string                    `json:"silent"` // machines that did not answer
+}
+
+// Run prints it.
+func (cmd *asking) Run() error {
+	stated, keys, err := cmd.read()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cmd.Wait)
+	defer cancel()
+	all := standing{}
+	var lags []time.Duration
+	for _, m := range stated.Machines {
+		status, err := configwatch.AskStatus(ctx, m.Sessions, keys)
+		if err != nil {
+			all.Silent = append(all.Silent, fmt.Sprintf("%s: %v", m.Name, err))
+			continue
+		}
+		all.Leader = cmp.Or(all.Leader, status.Leader)
+		all.Version = max(all.Version, status.Version)
+		all.Watchers += status.Watchers
+		lags = append(lags, status.Lags...)
+		status.Lags = nil
+		all.Machines = append(all.Machines, status)
+	}
+	if len(all.Machines) == 0 {
+		return fmt.Errorf("%w: %v", configwatch.ErrNotReached, all.Silent)
+	}
+	all.take(lags)
+	if cmd.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(all)
+	}
+	return all.print()
+}
+
+func (s *standing) take(lags []time.Duration) {
+	if s.Reports = len(lags); s.Reports == 0 {
+		return
+	}
+	seconds := make([]float64, len(lags))
+	for i, lag := range slices.Sorted(slices.Values(lags)) {
+		seconds[i] = lag.Seconds()
+	}
+	at := func(p float64) time.Duration {
+		return time.Duration(stat.Quantile(p, stat.Empirical, seconds, nil) * float64(time.Second))
+	}
+	s.P50, s.P99, s.Worst = at(0.5), at(0.99), at(1)
+}
+
+func (s *standing) print() error {
+	fmt.Printf("leader %s, version %d, %d watchers\n", cmp.Or(s.Leader, "unknown"), s.Version, s.Watchers)
+	if s.Reports > 0 {
+		round := func(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+		fmt.Printf("in force after p50 %v, p99 %v, worst %v, of %d reports\n", round(s.P50), round(s.P99), round(s.Worst), s.Reports)
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "machine\tversion\twatchers\tleader as it knows\t")
+	for _, m := range s.Machines {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t\n", m.Name, m.Version, m.Watchers, cmp.Or(m.Leader, "unknown"))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, name := range s.Silent {
+		fmt.Println("no answer:", name)
+	}
+	for _, m := range s.Machines {
+		for _, b := range m.Behind {
+			fmt.Printf("behind: %s (zone %s) at version %d, for %v %s\n", b.Name, cmp.Or(b.Zone, "unknown"), b.Version,
+				b.Since.Round(time.Millisecond), b.Fault)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/quartzpoint/control.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"quartzpoint/internal/compose"
+	"quartzpoint/internal/configwatch"
+	"quartzpoint/internal/control"
+	"quartzpoint/internal/leasing"
+	"quartzpoint/internal/server"
+)
+
+const controlWait = time.Second // for a turn of the owner of decisions
+
+// The questions that the control socket answers.
+const (
+	askDependencies  = "dependencies"
+	askLease         = "lease"
+	askConfiguration = "configuration"
+)
+
+// operatorAnswers are what operators may ask a running server about. What the server does not have is nil.
+type operatorAnswers struct {
+	owner    *server.Server
+	composer *compose.Composer
+	keeper   *leasing.Keeper
+	watcher  *configwatch.Watcher
+}
+
+// listen answers at a path until the context ends. Without a path nothing listens.
+func (a operatorAnswers) listen(ctx context.Context, path string) error {
+	if path == "" {
+		return nil
+	}
+	socket, err := control.Listen(path, a.answer)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, socket.Close)
+	return nil
+}
+
+func (a operatorAnswers) answer(q control.Question) (any, error) {
+	switch {
+	case q.Ask == askLease && a.keeper != nil:
+		return a.keeper.Holdings(), nil
+	case q.Ask == askConfiguration && a.watcher != nil:
+		return a.watcher.Standing(), nil
+	case q.Ask == askDependencies && a.composer != nil:
+		return a.dependencies()
+	case q.Ask == askLease || q.Ask == askConfiguration || q.Ask == askDependencies:
+		return nil, fmt.Errorf("this server has no [%s]", q.Ask)
+	}
+	return nil, fmt.Errorf("unknown question %q", q.Ask)
+}
+
+// dependencies are told in the owner's turn, which has them.
+func (a operatorAnswers) dependencies() (any, error) {
+	told := make(chan any, 1)
+	a.owner.Post(func() { told <- a.composer.States(a.owner.Now()) })
+	select {
+	case states := <-told:
+		return states, nil
+	case <-time.After(controlWait):
+		return nil, errors.New("the server is too busy to answer")
+	}
+}
--- a/cmd/quartzpoint/dependencies.go
+++ b/cmd/quartzpoint/dependencies.go
@@ -15,62 +15,28 @@
 	"quartzpoint/internal/compose"
 	"quartzpoint/internal/config"
 	"quartzpoint/internal/control"
-	"quartzpoint/internal/leasing"
 	"quartzpoint/internal/server"
 )
 
-const controlWait = time.Second // for a turn of the owner of decisions
-
-// composing starts what makes tasks of calls, and the socket by which operators ask about it. What is not stated
-// is not there. Both end with the context.
+// composing starts what makes requests of calls, nil where nothing is stated. It ends with the context.
 func composing(
-	ctx context.Context, ours *config.Config, memory int, seed int64, owner *server.Server, keeper *leasing.Keeper,
-	counts *check.Counts, log *slog.Logger,
-) error {
-	var composer *compose.Composer
-	if len(ours.Types) > 0 {
-		types, err := plans(ours, owner.Types())
-		if err != nil {
-			return err
-		}
-		var dependencies []compose.Dependency
-		for _, d := range ours.Dependencies {
-			dependencies = append(dependencies, compose.Dependency(d))
-		}
-		composer = compose.New(ctx, dependencies, types, memory, seed, owner.Now, counts, log, owner.Nudge)
-		owner.Compose(composer)
-		log.Info("tasks made of calls", "types", len(types), "dependencies", len(dependencies))
+	ctx context.Context, ours *config.Config, memory int, seed int64, owner *server.Server, counts *check.Counts, log *slog.Logger,
+) (*compose.Composer, error) {
+	if len(ours.Types) == 0 {
+		return nil, nil
 	}
-	if ours.Control == "" {
-		return nil
-	}
-	socket, err := control.Listen(ours.Control, func(q control.Question) (any, error) {
-		if q.Ask == "lease" {
-			if keeper == nil {
-				return nil, errors.New("this server has no [lease]")
-			}
-			return keeper.Holdings(), nil
-		}
-		if q.Ask != "dependencies" {
-			return nil, fmt.Errorf("unknown question %q", q.Ask)
-		}
-		if composer == nil {
-			return nil, errors.New("this server has no [dependencies]")
-		}
-		told := make(chan []budget.State, 1)
-		owner.Post(func() { told <- composer.States(owner.Now()) })
-		select {
-		case states := <-told:
-			return states, nil
-		case <-time.After(controlWait):
-			return nil, errors.New("the server is too busy to answer")
-		}
-	})
+	types, err := plans(ours, owner.Types())
 	if err != nil {
-		return err
+		return nil, err
+	}
+	var dependencies []compose.Dependency
+	for _, d := range ours.Dependencies {
+		dependencies = append(dependencies, compose.Dependency(d))
 	}
-	context.AfterFunc(ctx, socket.Close)
-	return nil
+	composer := compose.New(ctx, dependencies, types, memory, seed, owner.Now, counts, log, owner.Nudge)
+	owner.Compose(composer)
+	log.Info("tasks made of calls", "types", len(types), "dependencies", len(dependencies))
+	return composer, nil
 }
 
 // plans are the types' plans, checked against the time that the platform's configuration gives a task of each.
@@ -128,7 +94,7 @@
 // Run asks once.
 func (cmd *asking) Run() error {
 	var states []budget.State
-	if err := control.Ask(cmd.Socket, control.Question{Ask: "dependencies"}, &states); err != nil {
+	if err := control.Ask(cmd.Socket, control.Question{Ask: askDependencies}, &states); err != nil {
 		return err
 	}
 	if cmd.JSON {
--- a/cmd/quartzpoint/lease.go
+++ b/cmd/quartzpoint/lease.go
@@ -48,7 +48,7 @@
 // Run asks once.
 func (cmd *leaseShowing) Run() error {
 	var holdings []leasing.Holding
-	if err := control.Ask(cmd.Socket, control.Question{Ask: "lease"}, &holdings); err != nil {
+	if err := control.Ask(cmd.Socket, control.Question{Ask: askLease}, &holdings); err != nil {
 		return err
 	}
 	if cmd.JSON {
--- a/cmd/quartzpoint/serve.go
+++ b/cmd/quartzpoint/serve.go
@@ -64,7 +64,9 @@
 
 	seed := int64(s.Seed)
 	counts := check.New(log)
-	owner, err := server.New(s.settings, seed, s.bounds(), counts, log)
+	bounds := s.bounds()
+	bounds.Moving = ours.Configuration != nil
+	owner, err := server.New(s.settings, seed, bounds, counts, log)
 	if err != nil {
 		return err
 	}
@@ -83,10 +85,19 @@
 	if err != nil {
 		return fmt.Errorf("configuration file %s: %w", cmd.Config, err)
 	}
-	err = composing(ctx, ours, s.Limits.megabytes()<<20, seed, owner, keeper, counts, log)
+	composer, err := composing(ctx, ours, s.Limits.megabytes()<<20, seed, owner, counts, log)
 	if err != nil {
 		return err
 	}
+	watcher, tables, err := follow(ours.Configuration, s.Name, s.Limits.memory(), owner, seed, log)
+	if err != nil {
+		return fmt.Errorf("configuration file %s: %w", cmd.Config, err)
+	}
+	defer tables.close()
+	told := operatorAnswers{owner: owner, composer: composer, keeper: keeper, watcher: watcher}
+	if err := told.listen(ctx, ours.Control); err != nil {
+		return err
+	}
 	var kept *keeping
 	if ours.State != nil || ours.Peers != nil {
 		if kept, err = keep(ours.State, owner, counts, log); err != nil {
@@ -103,6 +114,9 @@
 		exchanging.giver.SetVoter(keeper.Vote)
 		go keeper.Run(leaseCtx)
 	}
+	if watcher != nil {
+		go watcher.Run(ctx)
+	}
 	go reporter.Run(ctx, membership.Period)
 	go link.Run(ctx)
 	failed := make(chan error, 1)
--- a/configuration/document.go
+++ b/configuration/document.go
@@ -130,15 +130,26 @@
 	if delta.Version != d.Version+1 {
 		return fmt.Errorf("%w: version %d behind %d", ErrDamaged, delta.Version, d.Version)
 	}
-	undo := Delta{Version: d.Version, Routes: beforeOf(d.Routes, delta.Routes), Tenants: beforeOf(d.Tenants, delta.Tenants)}
+	undo := d.Undo(delta)
 	d.put(delta)
 	if d.Digest != delta.Digest {
-		d.put(undo)
+		d.Revert(undo)
 		return fmt.Errorf("%w: version %d leads to other content", ErrDamaged, delta.Version)
 	}
 	return nil
 }
 
+// Undo is what takes a document back to where it stands now, after the delta was applied.
+func (d *Document) Undo(delta Delta) Delta {
+	return Delta{
+		Version: d.Version, Digest: d.Digest,
+		Routes: beforeOf(d.Routes, delta.Routes), Tenants: beforeOf(d.Tenants, delta.Tenants),
+	}
+}
+
+// Revert takes a document back by what Undo gave.
+func (d *Document) Revert(undo Delta) { d.put(undo) }
+
 // beforeOf is what undoes the part of a delta.
 func beforeOf[T any](table map[string]T, delta map[string]*T) map[string]*T {
 	before := make(map[string]*T, len(delta))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,7 +29,9 @@
 	Types        []Type            // traffic types that are made of calls
 	State        *State            // nil: nothing is kept for the server after this one
 	Pools        []classpool.Terms // empty: no pools; read and checked, not yet used in decisions
-	Lease        *Lease            // nil: no duty is held by lease; read and checked, not yet served
+	Lease        *Lease            // nil: no duty is held by lease
+	// Configuration is nil where routes and tenants are those of the platform's configuration for good.
+	Configuration *Configuration
 }
 
 // Fault is one thing that is wrong in a file.
@@ -54,39 +56,66 @@
 
 // Read reads a file whole. The error joins all faults.
 func Read(path string) (*Config, error) {
+	c := &Config{}
+	if err := readFile(path, c.read); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Parse reads the text of a file.
+func Parse(path string, raw []byte) (*Config, error) {
+	c := &Config{}
+	if err := parse(path, raw, c.read); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// readFile has a file's text read by its top section.
+func readFile(path string, read func(top *section)) error {
 	about, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("configuration file: %w", err)
+		return fmt.Errorf("configuration file: %w", err)
 	}
 	if about.Size() > mostFile {
-		return nil, fmt.Errorf("configuration file %s: %d bytes, %d at most", path, about.Size(), mostFile)
+		return fmt.Errorf("configuration file %s: %d bytes, %d at most", path, about.Size(), mostFile)
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("configuration file: %w", err)
+		return fmt.Errorf("configuration file: %w", err)
 	}
-	return Parse(path, raw)
+	return parse(path, raw, read)
 }
 
-// Parse reads the text of a file.
-func Parse(path string, raw []byte) (*Config, error) {
+// parse has a text read by its top section, and gives all faults.
+func parse(path string, raw []byte, read func(top *section)) error {
 	var values map[string]any
 	if err := toml.Unmarshal(raw, &values); err != nil {
 		var at *toml.DecodeError
 		if errors.As(err, &at) { // where the text itself is broken there is no telling what else is wrong
 			line, column := at.Position()
-			return nil, &Fault{File: path, Line: line, Key: fmt.Sprintf("column %d", column), Allowed: at.Error()}
+			return &Fault{File: path, Line: line, Key: fmt.Sprintf("column %d", column), Allowed: at.Error()}
 		}
-		return nil, fmt.Errorf("configuration file %s: %w", path, err)
+		return fmt.Errorf("configuration file %s: %w", path, err)
 	}
 	r := &reader{file: path, lines: lines(raw)}
-	c := &Config{}
-	top := r.section("", values)
+	read(r.section("", values))
+	slices.SortStableFunc(r.faults, func(a, b *Fault) int { return a.Line - b.Line })
+	all := make([]error, len(r.faults))
+	for i, f := range r.faults {
+		all[i] = f
+	}
+	return errors.Join(all...)
+}
+
+// read takes the sections.
+func (c *Config) read(top *section) {
 	if peers := top.below("peers"); peers != nil {
 		c.Peers = readPeers(peers)
 	}
 	if control := top.below("control"); control != nil {
-		c.Control = control.text("socket", "", "a path is allowed", func(t string) bool { return t != "" })
+		c.Control = control.text("socket", "", "a path is allowed", notEmpty)
 		control.end()
 	}
 	if dependencies := top.below("dependencies"); dependencies != nil {
@@ -104,16 +133,10 @@
 	if lease := top.below("lease"); lease != nil {
 		c.Lease = readLease(lease, c.Peers)
 	}
-	top.end()
-	slices.SortStableFunc(r.faults, func(a, b *Fault) int { return a.Line - b.Line })
-	if len(r.faults) > 0 {
-		all := make([]error, len(r.faults))
-		for i, f := range r.faults {
-			all[i] = f
-		}
-		return nil, errors.Join(all...)
+	if configuration := top.below("configuration"); configuration != nil {
+		c.Configuration = readConfiguration(configuration)
 	}
-	return c, nil
+	top.end()
 }
 
 // lines finds the line of each key and table.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -111,7 +111,7 @@
 // Each fault alone, told with file, line, key, value and what is allowed.
 func TestFaults(t *testing.T) {
 	cases := []struct{ name, text, want string }{
-		{"unknown section", "\n[pears]\n", `x.toml:2: pears = a table: unknown; allowed are control, dependencies, lease, peers, pools, state, types`},
+		{"unknown section", "\n[pears]\n", `x.toml:2: pears = a table: unknown; allowed are configuration, control, dependencies, lease, peers, pools, state, types`},
 		{"unknown key", "[peers]\n\nlisten_on = 1", `x.toml:3: peers.listen_on = 1: unknown; allowed are ask, key-file, listen, total`},
 		{"no section", "peers = 3", `x.toml:1: peers = 3: a section`},
 		{"wrong type", "[peers]\ntotal = 300", `x.toml:2: peers.total = 300: a time from "10ms" to "10s" is allowed`},
--- /dev/null
+++ b/internal/configwatch/watcher.go
@@ -0,0 +1,248 @@
+package configwatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"quartzpoint/configuration"
+	"quartzpoint/internal/exchange"
+)
+
+const (
+	silence     = 3 * Heartbeat          // after which a control machine is taken for lost
+	openWait    = 2 * time.Second        // for the opening of a session
+	firstPause  = 100 * time.Millisecond // before the next machine is tried, on the mean; doubled up to the longest
+	longest     = 2 * time.Second
+	mostRefused = 4 * time.Second // that a machine may ask a watcher to stay away
+	spreadOver  = time.Second     // reconnects of a fleet whose machine is lost come over this time
+)
+
+// Machine is a control machine.
+type Machine struct {
+	Zone    string
+	Address string
+}
+
+// Disk keeps the version in force for the next start. It is called by one goroutine.
+type Disk interface {
+	// Replace keeps a whole document, in the place of all that was kept.
+	Replace(d *configuration.Document) error
+	// Append keeps a delta behind what is kept.
+	Append(delta configuration.Delta, d *configuration.Document) error
+}
+
+// Watcher has a server follow the configuration service. All fields but Document are needed before Run.
+type Watcher struct {
+	Name     string // that operators know the server by
+	Zone     string // its own: machines of it are tried first
+	Machines []Machine
+	Keys     exchange.Keys
+	Document *configuration.Document // in force now; the watcher's own from Run on
+	// Apply has a delta, which leads to a document, come into force and returns once it is, or why it cannot; then nothing
+	// of it is in force. It keeps nothing of the document.
+	Apply func(ctx context.Context, delta configuration.Delta, to *configuration.Document) error
+	Disk  Disk // nil where nothing is kept
+	Seed  int64
+	Log   *slog.Logger
+
+	version   atomic.Uint64
+	connected atomic.Bool
+	heard     atomic.Int64 // when a machine was last heard of, in Unix nanoseconds; 0 for never
+}
+
+// Standing is how a watch stands.
+type Standing struct {
+	Version   uint64        `json:"version"`   // in force
+	Connected bool          `json:"connected"` // to a control machine
+	Silent    time.Duration `json:"silent_ns"` // since a control machine was last heard of; negative for never
+}
+
+// Standing may be asked for by any goroutine.
+func (w *Watcher) Standing() Standing {
+	s := Standing{Version: w.version.Load(), Connected: w.connected.Load(), Silent: -1}
+	if heard := w.heard.Load(); heard > 0 {
+		s.Silent = time.Since(time.Unix(0, heard))
+	}
+	return s
+}
+
+// Run follows the service until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	w.version.Store(w.Document.Version)
+	chance := rand.New(rand.NewSource(w.Seed))
+	pause := firstPause
+	for tries := 0; ; tries++ {
+		order := w.order(chance)
+		machine := order[tries%len(order)]
+		began := time.Now()
+		err := w.follow(ctx, machine)
+		w.connected.Store(false)
+		if ctx.Err() != nil {
+			return
+		}
+		held := time.Since(began) > silence
+		if held { // the machine was there: all its watchers come at once
+			pause, tries = firstPause, -1
+		}
+		w.Log.Warn("configuration: no word of the control machine", "machine", machine.Address, "error", err,
+			"version", w.Document.Version)
+		wait := time.Duration(chance.Int63n(int64(2 * pause)))
+		if held {
+			wait = time.Duration(chance.Int63n(int64(spreadOver)))
+		}
+		var refused *exchange.Refused
+		if errors.As(err, &refused) {
+			wait += min(refused.ComeBack, mostRefused)
+		}
+		if pause = min(2*pause, longest); !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// order is that in which machines are tried: those of the server's own zone first, and drawn among equals.
+func (w *Watcher) order(chance *rand.Rand) []Machine {
+	order := slices.Clone(w.Machines)
+	chance.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	slices.SortStableFunc(order, func(a, b Machine) int {
+		switch {
+		case a.Zone == b.Zone:
+			return 0
+		case a.Zone == w.Zone:
+			return -1
+		case b.Zone == w.Zone:
+			return 1
+		}
+		return 0
+	})
+	return order
+}
+
+// follow holds a session with a machine until it fails.
+func (w *Watcher) follow(ctx context.Context, machine Machine) error {
+	opening, cancel := context.WithTimeout(ctx, openWait)
+	defer cancel()
+	session, err := exchange.Open(opening, machine.Address, w.Keys)
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	defer context.AfterFunc(ctx, func() { session.Close() })()
+	ask := Watch{Name: w.Name, Zone: w.Zone, Version: w.Document.Version, Digest: w.Document.Digest}
+	if err := session.Send(Encode(Request{Watch: &ask})); err != nil {
+		return err
+	}
+	for {
+		raw, err := session.Receive(MaxUpdate, silence)
+		if err != nil {
+			return err
+		}
+		var update Update
+		if err := Decode(raw, &update); err != nil {
+			return err
+		}
+		if !w.connected.Swap(true) {
+			w.Log.Info("configuration: watching", "machine", machine.Address, "version", w.Document.Version, "newest", update.Newest)
+		}
+		w.heard.Store(time.Now().UnixNano())
+		if len(update.Deltas) == 0 && update.Snapshot == nil {
+			continue
+		}
+		fault := w.take(ctx, update)
+		if errors.Is(fault, configuration.ErrDamaged) {
+			return fault // dropped whole, and had from another machine
+		}
+		report := Report{Version: w.Document.Version, Digest: w.Document.Digest}
+		if fault != nil {
+			report.Refused, report.Fault = update.Newest, fault.Error()[:min(len(fault.Error()), maxWhy)]
+		}
+		if err := errors.Join(session.Send(Encode(report)), fault); err != nil {
+			return err
+		}
+	}
+}
+
+// take has an update come into force. What was in force stays where it cannot.
+func (w *Watcher) take(ctx context.Context, update Update) error {
+	if update.Snapshot != nil {
+		to, err := configuration.ReadSnapshot(update.Snapshot)
+		if err != nil {
+			return err
+		}
+		if to.Version < w.Document.Version {
+			return fmt.Errorf("%w: a snapshot of version %d, and %d is in force", configuration.ErrDamaged, to.Version, w.Document.Version)
+		}
+		if err := w.force(ctx, configuration.Between(w.Document, to), to); err != nil {
+			return err
+		}
+		w.keep(func() error { return w.Disk.Replace(w.Document) })
+	}
+	for _, raw := range update.Deltas {
+		delta, err := configuration.ReadDelta(raw)
+		if err != nil {
+			return err
+		}
+		if err := w.step(ctx, delta); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// step has one delta come into force.
+func (w *Watcher) step(ctx context.Context, delta configuration.Delta) error {
+	undo := w.Document.Undo(delta)
+	if err := w.Document.Apply(delta); err != nil {
+		return err
+	}
+	if err := w.Apply(ctx, delta, w.Document); err != nil {
+		w.Document.Revert(undo)
+		return err
+	}
+	w.inForce()
+	w.keep(func() error { return w.Disk.Append(delta, w.Document) })
+	return nil
+}
+
+// force has a whole document come into force by what differs.
+func (w *Watcher) force(ctx context.Context, delta configuration.Delta, to *configuration.Document) error {
+	if err := w.Apply(ctx, delta, to); err != nil {
+		return err
+	}
+	w.Document = to
+	w.inForce()
+	return nil
+}
+
+func (w *Watcher) inForce() {
+	w.version.Store(w.Document.Version)
+	w.Log.Info("configuration: in force", "version", w.Document.Version,
+		"routes", len(w.Document.Routes), "tenants", len(w.Document.Tenants))
+}
+
+// keep puts what is in force on disk. A disk that fails costs the next start its configuration, and not this server.
+func (w *Watcher) keep(put func() error) {
+	if w.Disk == nil {
+		return
+	}
+	if err := put(); err != nil {
+		w.Log.Error("configuration: not kept on disk", "version", w.Document.Version, "error", err)
+	}
+}
--- a/internal/exchange/talk.go
+++ b/internal/exchange/talk.go
@@ -52,8 +52,9 @@
 	part
 	end
 	refusal
-	vote  // an ask for a lease, in the place of ask
-	voted // the answer to it
+	vote    // an ask for a lease, in the place of ask
+	voted   // the answer to it
+	session // an ask for a session, in the place of ask
 )
 
 // message is any step of a talk.
--- a/internal/server/tables.go
+++ b/internal/server/tables.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -39,9 +40,23 @@
 	s.Post(func() { s.tables.changes = append(s.tables.changes, change) })
 }
 
+// SetTables makes a change at once. It is for before Run.
+func (s *Server) SetTables(change TableChange) {
+	s.tables.changes = append(s.tables.changes, change)
+	s.makeChanges(math.MaxInt)
+}
+
 // changeTables makes a part of what waits.
 func (s *Server) changeTables() {
-	for left := changesPerRound; left > 0 && len(s.tables.changes) > 0; {
+	s.makeChanges(changesPerRound)
+	if len(s.tables.changes) > 0 {
+		s.Nudge()
+	}
+}
+
+// makeChanges makes so many entries different at the most.
+func (s *Server) makeChanges(left int) {
+	for left > 0 && len(s.tables.changes) > 0 {
 		change := &s.tables.changes[0]
 		switch {
 		case len(change.Routes) > 0:
@@ -60,9 +75,6 @@
 			}
 		}
 	}
-	if len(s.tables.changes) > 0 {
-		s.Nudge()
-	}
 }
 
 func (s *Server) changeRoute(change settings.RouteChange) {
