--- /dev/null
+++ b/internal/configserve/configserve_test.go
@@ -0,0 +1,346 @@
+package configserve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"quartzpoint/configuration"
+	"quartzpoint/internal/configwatch"
+	"quartzpoint/internal/exchange"
+	"quartzpoint/internal/faultnet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+var keys = exchange.Keys{bytes.Repeat([]byte{5}, 16)}
+
+// localLog is a log of this machine alone.
+type localLog struct {
+	hub      *Hub
+	leads    atomic.Bool
+	leader   atomic.Value
+	proposed atomic.Int64
+}
+
+func (l *localLog) Propose(entry []byte, _ time.Duration) (any, error) {
+	l.proposed.Add(1)
+	return l.hub.Apply(entry, time.Now()), nil
+}
+
+func (l *localLog) Leads() (bool, string) { return l.leads.Load(), l.leader.Load().(string) }
+
+// machine is a control machine.
+type machine struct {
+	hub     *Hub
+	log     *localLog
+	address string
+}
+
+func newMachine(t *testing.T) *machine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := &machine{hub: NewHub(), address: listener.Addr().String()}
+	m.log = &localLog{hub: m.hub}
+	m.log.leads.Store(true)
+	m.log.leader.Store("one")
+	server := &Server{Name: "one", Address: map[string]string{}, Keys: keys, Hub: m.hub, Log: m.log, Logger: quiet()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return m
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func (m *machine) accept(t *testing.T, change configuration.Change) uint64 {
+	t.Helper()
+	version, err := configwatch.Propose(t.Context(), []string{m.address}, keys, change)
+	require.NoError(t, err)
+	return version
+}
+
+func deadline(n int64) configuration.Change {
+	return configuration.Change{Routes: map[string]*configuration.Route{
+		"pay": {LatencyTarget: 1, Deadline: n, Idempotency: configuration.Retryable},
+	}}
+}
+
+// follower is a watcher that keeps what came into force.
+type follower struct {
+	*configwatch.Watcher
+	mu       sync.Mutex
+	versions []uint64
+	document *configuration.Document
+	fault    atomic.Pointer[string]
+}
+
+func follow(t *testing.T, name string, at configwatch.Machine, others ...configwatch.Machine) *follower {
+	t.Helper()
+	f := &follower{document: configuration.NewDocument()}
+	f.Watcher = &configwatch.Watcher{
+		Name: name, Zone: "a", Machines: append([]configwatch.Machine{at}, others...), Keys: keys,
+		Document: configuration.NewDocument(), Log: quiet(), Seed: 1,
+		Apply: func(_ context.Context, delta configuration.Delta, to *configuration.Document) error {
+			if fault := f.fault.Load(); fault != nil {
+				return errors.New(*fault)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.versions = append(f.versions, delta.Version)
+			f.document = to.Clone()
+			return nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f
+}
+
+func (f *follower) reaches(t *testing.T, m *machine, version uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool { return f.Standing().Version == version }, patience, time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.hub.mu.Lock()
+	defer m.hub.mu.Unlock()
+	if version == m.hub.history.Document.Version {
+		assert.Equal(t, m.hub.history.Document, f.document)
+	}
+}
+
+// A watcher gets each change in its order, one that comes late gets what it lacks, and one that was told more than the
+// machine has waits for it. The status tells who is behind, and by how much the others were.
+func TestWatch(t *testing.T) {
+	m := newMachine(t)
+	early := follow(t, "early", configwatch.Machine{Address: m.address})
+	for i := range int64(20) {
+		require.Equal(t, uint64(i+1), m.accept(t, deadline(i+1)))
+	}
+	early.reaches(t, m, 20)
+	for i, version := range early.versions {
+		assert.Equal(t, uint64(i+1), version, "each, in order")
+	}
+	late := follow(t, "late", configwatch.Machine{Address: m.address})
+	late.reaches(t, m, 20)
+	require.Eventually(t, func() bool {
+		status, err := configwatch.AskStatus(t.Context(), m.address, keys)
+		return err == nil && status.Watchers == 2 && len(status.Behind) == 0 && len(status.Lags) == 21
+	}, patience, time.Millisecond)
+
+	full := "no room"
+	late.fault.Store(&full)
+	m.accept(t, deadline(21))
+	early.reaches(t, m, 21)
+	require.Eventually(t, func() bool {
+		status, err := configwatch.AskStatus(t.Context(), m.address, keys)
+		return err == nil && len(status.Behind) == 1 && status.Behind[0].Name == "late" && status.Behind[0].Fault == full &&
+			status.Behind[0].Version == 20 && status.Behind[0].Since > 0
+	}, patience, time.Millisecond)
+	assert.Equal(t, uint64(20), late.Standing().Version, "what was in force stays")
+	late.fault.Store(nil)
+	late.reaches(t, m, 21)
+}
+
+// A watcher too far behind gets a snapshot in the place of what is no longer kept.
+func TestSnapshotWhereDeltasAreGone(t *testing.T) {
+	m := newMachine(t)
+	for i := range int64(5000) {
+		raw, err := json.Marshal(deadline(i + 1))
+		require.NoError(t, err)
+		require.NoError(t, m.hub.Apply(raw, time.Now()).(Result).Err)
+	}
+	f := follow(t, "one", configwatch.Machine{Address: m.address})
+	f.reaches(t, m, 5000)
+	assert.Equal(t, []uint64{5000}, f.versions)
+	m.accept(t, deadline(1))
+	f.reaches(t, m, 5001)
+	again := NewHub()
+	require.NoError(t, again.Restore(m.hub.Snapshot()))
+	assert.Equal(t, m.hub.Snapshot(), again.Snapshot(), "a restored machine holds the same")
+}
+
+// A change with faults is refused with all of them and never gets into the log; one that comes twice is accepted once;
+// one made on an older version is refused; and of a machine that does not lead another is asked.
+func TestPropose(t *testing.T) {
+	m := newMachine(t)
+	bad := configuration.Change{Routes: map[string]*configuration.Route{"pay": {Idempotency: "often"}, "gone": nil}}
+	_, err := configwatch.Propose(t.Context(), []string{m.address}, keys, bad)
+	var refusal *configuration.Refusal
+	require.ErrorAs(t, err, &refusal)
+	assert.Len(t, refusal.Faults, 4)
+	assert.Zero(t, m.log.proposed.Load())
+	change := deadline(1)
+	change.ID = "once"
+	assert.Equal(t, uint64(1), m.accept(t, change))
+	assert.Equal(t, uint64(1), m.accept(t, change))
+	stale := deadline(2)
+	base := uint64(0)
+	stale.Base = &base
+	_, err = configwatch.Propose(t.Context(), []string{m.address}, keys, stale)
+	assert.ErrorContains(t, err, "base = 0: is not the newest version, which is 1")
+
+	other := newMachine(t)
+	other.log.leads.Store(false)
+	other.log.leader.Store("nobody knows where")
+	version, err := configwatch.Propose(t.Context(), []string{other.address, m.address}, keys, deadline(3))
+	require.NoError(t, err)
+	assert.Equal(t, uint64(2), version)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = configwatch.Propose(ctx, []string{other.address, "127.0.0.1:1"}, keys, deadline(4))
+	assert.ErrorIs(t, err, configwatch.ErrNotReached)
+}
+
+// A wrong key gets no answer but a refusal: no watch, no status, no change.
+func TestWrongKey(t *testing.T) {
+	m := newMachine(t)
+	for name, wrong := range map[string]exchange.Keys{"another": {bytes.Repeat([]byte{6}, 16)}, "none": nil} {
+		_, err := configwatch.AskStatus(t.Context(), m.address, wrong)
+		var refused *exchange.Refused
+		assert.ErrorAs(t, err, &refused, name)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		_, err = configwatch.Propose(ctx, []string{m.address}, wrong, deadline(1))
+		assert.ErrorIs(t, err, configwatch.ErrNotReached, name)
+		cancel()
+	}
+	assert.Zero(t, m.log.proposed.Load())
+}
+
+// A machine whose log knows no leader lets its watchers go, so that they find one that is not cut off; what they have in
+// force stays.
+func TestCutOffMachineLetsItsWatchersGo(t *testing.T) {
+	cut, whole := newMachine(t), newMachine(t)
+	for _, m := range []*machine{cut, whole} {
+		m.accept(t, deadline(1))
+	}
+	f := follow(t, "one", configwatch.Machine{Zone: "a", Address: cut.address}, configwatch.Machine{Zone: "b", Address: whole.address})
+	f.reaches(t, cut, 1)
+	cut.log.leads.Store(false)
+	cut.log.leader.Store("")
+	whole.accept(t, deadline(2))
+	f.reaches(t, whole, 2)
+}
+
+// The way to a machine is cut, stalls, and drops what goes either way: each time the watcher keeps what it has and is at
+// the newest once it is healed.
+func TestWatchAcrossFaults(t *testing.T) {
+	m := newMachine(t)
+	way, err := faultnet.New(m.address)
+	require.NoError(t, err)
+	defer way.Close()
+	f := follow(t, "one", configwatch.Machine{Address: way.Addr()})
+	version := m.accept(t, deadline(1))
+	f.reaches(t, m, version)
+	for _, fault := range []string{"cut", "drop up", "drop down", "stall down"} {
+		require.NoError(t, way.Play(fault))
+		version = m.accept(t, deadline(int64(version)+1))
+		way.Heal()
+		f.reaches(t, m, version)
+	}
+}
+
+// A snapshot or delta that is damaged on the way never comes into force; the watcher gets it anew.
+func TestDamagedOnTheWay(t *testing.T) {
+	m := newMachine(t)
+	large := configuration.Change{Routes: map[string]*configuration.Route{}}
+	for i := range 300 {
+		large.Routes[fmt.Sprint("r", i)] = &configuration.Route{LatencyTarget: 1, Deadline: 1, Idempotency: configuration.Retryable}
+	}
+	m.accept(t, large)
+	for at := 150; at < 4000; at += 350 {
+		way := newFlipper(t, m.address, at)
+		f := follow(t, fmt.Sprint("at ", at), configwatch.Machine{Address: way})
+		f.reaches(t, m, 1)
+	}
+}
+
+// newFlipper carries connections to a target; of the first, one byte of what comes back is changed.
+func newFlipper(t *testing.T, target string, at int) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var over sync.WaitGroup
+	t.Cleanup(func() { listener.Close(); over.Wait() })
+	over.Go(func() {
+		for first := true; ; first = false {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			flip := -1
+			if first {
+				flip = at
+			}
+			over.Go(func() { defer out.Close(); _, _ = io.Copy(out, in) })
+			over.Go(func() { defer in.Close(); carry(in, out, flip) })
+		}
+	})
+	return listener.Addr().String()
+}
+
+func carry(to io.Writer, from io.Reader, flip int) {
+	chunk := make([]byte, 1<<10)
+	for seen := 0; ; {
+		n, err := from.Read(chunk)
+		if place := flip - seen; flip >= 0 && place >= 0 && place < n {
+			chunk[place] ^= 1
+		}
+		seen += n
+		if _, failed := to.Write(chunk[:n]); err != nil || failed != nil {
+			return
+		}
+	}
+}
+
+// Watchers of one machine cost it no queue: one that does not read is let go, and the others get every change meanwhile.
+func TestSlowWatcher(t *testing.T) {
+	m := newMachine(t)
+	session, err := exchange.Open(t.Context(), m.address, keys)
+	require.NoError(t, err)
+	defer session.Close()
+	require.NoError(t, session.Send(configwatch.Encode(configwatch.Request{Watch: &configwatch.Watch{Name: "slow"}})))
+	f := follow(t, "quick", configwatch.Machine{Address: m.address})
+	large := configuration.Change{Routes: map[string]*configuration.Route{}}
+	for i := range 4000 {
+		large.Routes[fmt.Sprintf("route-%0100d", i)] = &configuration.Route{LatencyTarget: 1, Deadline: 1, Idempotency: configuration.Retryable}
+	}
+	version := uint64(0)
+	for i := range int64(12) { // more than the buffers of the connection hold
+		for _, route := range large.Routes {
+			route.Deadline = i + 1
+		}
+		version = m.accept(t, large)
+	}
+	f.reaches(t, m, version)
+	require.Eventually(t, func() bool {
+		status, err := configwatch.AskStatus(t.Context(), m.address, keys)
+		return err == nil && status.Watchers == 1
+	}, patience, 10*time.Millisecond, "the one that does not read is let go")
+}
--- /dev/null
+++ b/internal/raftlog/raftlog_test.go
@@ -0,0 +1,207 @@
+package raftlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/exchange"
+)
+
+const patience = 20 * time.Second
+
+// list is a machine that keeps all entries.
+type list struct {
+	mu      sync.Mutex
+	entries []string
+}
+
+func (l *list) Apply(entry []byte, at time.Time) any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.IsZero() {
+		panic("an entry without its moment")
+	}
+	l.entries = append(l.entries, string(entry))
+	return len(l.entries)
+}
+
+func (l *list) Snapshot() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	raw, _ := json.Marshal(l.entries) // strings always have a form
+	return raw
+}
+
+func (l *list) Restore(raw []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return json.Unmarshal(raw, &l.entries)
+}
+
+func (l *list) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string{}, l.entries...)
+}
+
+// cluster is a log over three machines.
+type cluster struct {
+	options []Options
+	lists   []*list
+	nodes   []*Node
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{}
+	var members []Member
+	for i := range 3 {
+		free, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		members = append(members, Member{Name: fmt.Sprint("m", i), Address: free.Addr().String()})
+		free.Close()
+	}
+	for i := range members {
+		c.lists = append(c.lists, &list{})
+		c.options = append(c.options, Options{
+			Name: members[i].Name, Dir: filepath.Join(t.TempDir(), "log"), Members: members, Machine: c.lists[i],
+			Keys: exchange.Keys{bytes.Repeat([]byte{3}, 16)}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		c.nodes = append(c.nodes, nil)
+		c.start(t, i)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			if n != nil {
+				_ = n.Close()
+			}
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(t *testing.T, i int) {
+	t.Helper()
+	node, err := Start(c.options[i])
+	require.NoError(t, err)
+	c.nodes[i] = node
+}
+
+func (c *cluster) stop(t *testing.T, i int) {
+	t.Helper()
+	require.NoError(t, c.nodes[i].Close())
+	c.nodes[i] = nil
+	*c.lists[i] = list{} // what is in memory is gone
+}
+
+// leader waits for one.
+func (c *cluster) leader(t *testing.T) (leader int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for i, n := range c.nodes {
+			if n == nil {
+				continue
+			}
+			if leads, _ := n.Leads(); leads {
+				leader = i
+				return true
+			}
+		}
+		return false
+	}, patience, time.Millisecond)
+	return leader
+}
+
+func (c *cluster) propose(t *testing.T, entry string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		_, err := c.nodes[c.leader(t)].Propose([]byte(entry), time.Second)
+		return err == nil
+	}, patience, time.Millisecond)
+}
+
+// agree waits until all that run hold the same entries.
+func (c *cluster) agree(t *testing.T, want []string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for i, n := range c.nodes {
+			if n != nil && !assert.ObjectsAreEqual(want, c.lists[i].all()) {
+				return false
+			}
+		}
+		return true
+	}, patience, time.Millisecond)
+}
+
+// Entries are the same everywhere, through the loss of the leader, restarts of one and of all machines, and a snapshot.
+func TestLogAcrossLosses(t *testing.T) {
+	c := newCluster(t)
+	var want []string
+	put := func(entry string) {
+		c.propose(t, entry)
+		want = append(want, entry)
+	}
+	put("a")
+	put("b")
+	c.agree(t, want)
+	lost := c.leader(t)
+	follower := (lost + 1) % 3
+	_, err := c.nodes[follower].Propose([]byte("x"), time.Second)
+	assert.ErrorIs(t, err, ErrNotLeader)
+	c.stop(t, lost)
+	put("c")
+	require.NoError(t, c.nodes[c.leader(t)].raft.Snapshot().Error())
+	put("d")
+	c.start(t, lost)
+	c.agree(t, want)
+	for i := range c.nodes {
+		c.stop(t, i)
+	}
+	for i := range c.nodes {
+		c.start(t, i)
+	}
+	put("e")
+	c.agree(t, want)
+}
+
+// Without a majority nothing is accepted, and the machine that is left knows no leader.
+func TestNoMajority(t *testing.T) {
+	c := newCluster(t)
+	c.propose(t, "a")
+	leader := c.leader(t)
+	c.stop(t, (leader+1)%3)
+	c.stop(t, (leader+2)%3)
+	require.Eventually(t, func() bool {
+		_, name := c.nodes[leader].Leads()
+		return name == ""
+	}, patience, time.Millisecond)
+	_, err := c.nodes[leader].Propose([]byte("b"), 200*time.Millisecond)
+	assert.Error(t, err)
+}
+
+// Whoever does not have the key is no part of the log; nor is a machine that the members do not name.
+func TestAnotherKey(t *testing.T) {
+	c := newCluster(t)
+	c.propose(t, "a")
+	leader := c.leader(t)
+	away := (leader + 1) % 3
+	c.stop(t, away)
+	c.options[away].Keys = exchange.Keys{bytes.Repeat([]byte{4}, 16)}
+	c.start(t, away)
+	c.propose(t, "b")
+	assert.Never(t, func() bool { return len(c.lists[away].all()) > 1 }, 300*time.Millisecond, 10*time.Millisecond)
+	nobody := c.options[leader]
+	nobody.Name = "nobody"
+	_, err := Start(nobody)
+	assert.ErrorContains(t, err, "none of its members")
+}
