--- /dev/null
+++ b/cmd/quartzpoint/configuration_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/configuration"
+	"quartzpoint/internal/check"
+	"quartzpoint/internal/config"
+	"quartzpoint/internal/folder"
+	"quartzpoint/internal/server"
+	"quartzpoint/internal/settings"
+	"quartzpoint/internal/standin"
+	"quartzpoint/internal/store"
+)
+
+func newOwner(t *testing.T) *server.Server {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	agreed, err := settings.FromJSON([]byte(standin.Site))
+	require.NoError(t, err)
+	owner, err := server.New(agreed, 1, server.Limits{MemoryMB: 96, Sockets: 256, Numbers: true, Customers: true, Moving: true}, check.New(log), log)
+	require.NoError(t, err)
+	return owner
+}
+
+// keepDocument leaves a document in a folder, as a server before this one did.
+func keepDocument(t *testing.T, dir string, d *configuration.Document) {
+	t.Helper()
+	disk, err := folder.OpenDisk(dir, false)
+	require.NoError(t, err)
+	kept, _, err := store.OpenConfigurations(disk)
+	require.NoError(t, err)
+	require.NoError(t, kept.Replace(d))
+	require.NoError(t, kept.Close())
+}
+
+func documentOf(routes, tenants int) *configuration.Document {
+	change := configuration.Change{Routes: map[string]*configuration.Route{}, Tenants: map[string]*configuration.Tenant{}}
+	for i := range routes {
+		change.Routes[fmt.Sprint("route", i)] = &configuration.Route{LatencyTarget: 1e6, Deadline: 2e6, Value: 3, Idempotency: configuration.Keyed, Window: 5}
+	}
+	for i := range tenants {
+		change.Tenants[fmt.Sprint("tenant", i)] = &configuration.Tenant{Rate: float64(i)}
+	}
+	d := configuration.NewDocument()
+	d.Accept(change)
+	return d
+}
+
+// What was kept is in force before the start, in the place of all that the platform's configuration states.
+func TestStartsWithWhatWasKept(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "kept")
+	keepDocument(t, dir, documentOf(3, 2))
+	owner := newOwner(t)
+	stated := &config.Configuration{Dir: dir, Machines: []config.WatchedMachine{{Address: "127.0.0.1:1"}}}
+	watcher, tables, err := follow(stated, "one", 96<<20, owner, 1, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer tables.close()
+	routes, tenants := owner.Tables()
+	assert.Len(t, routes, 3)
+	for name, route := range routes {
+		assert.Equal(t, settings.RouteOf(name, configuration.Route{LatencyTarget: 1e6, Deadline: 2e6, Value: 3, Idempotency: configuration.Keyed, Window: 5}), route)
+	}
+	assert.Equal(t, map[string]float64{"tenant0": 0, "tenant1": 1}, tenants)
+	assert.Equal(t, uint64(1), watcher.Document.Version)
+}
+
+// Tables that leave no room for requests are a fault that names the limit, at the start and in service; nothing of them
+// is in force then.
+func TestTablesBeyondTheMemory(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "kept")
+	large := documentOf(100, 20_000)
+	keepDocument(t, dir, large)
+	owner := newOwner(t)
+	before, _ := owner.Tables()
+	stated := &config.Configuration{Dir: dir, Machines: []config.WatchedMachine{{Address: "127.0.0.1:1"}}}
+	_, _, err := follow(stated, "one", 16<<20, owner, 1, slog.New(slog.DiscardHandler))
+	assert.ErrorContains(t, err, "configuration.dir "+dir+": limits.memory_mb: 100 routes and 20000 tenants may take 19 MB, 8 MB at most")
+	after, _ := owner.Tables()
+	assert.Equal(t, before, after)
+
+	k := &tableKeeper{owner: owner, memory: 16 << 20}
+	err = k.apply(t.Context(), configuration.Between(configuration.NewDocument(), large), large)
+	assert.ErrorContains(t, err, "limits.memory_mb")
+}
+
+// Without the section nothing is followed.
+func TestNotFollowed(t *testing.T) {
+	watcher, tables, err := follow(nil, "one", 0, nil, 1, nil)
+	require.NoError(t, err)
+	assert.Nil(t, watcher)
+	tables.close()
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -128,6 +128,12 @@
 		{"state without a folder", "\n[state]\nnumbers = true", `x.toml:2: state.dir: the path of a folder is needed`},
 		{"state out of range", "[state]\ndir = \"d\"\nmost-mb = 1", `x.toml:3: state.most-mb = 1: a whole number from 8 to 4096`},
 		{"commit out of range", "[state]\ndir = \"d\"\ncommit = \"2s\"", `x.toml:3: state.commit = "2s": a time`},
+		{"configuration of nobody", "\n[configuration]\nzone = \"a\"", `x.toml:2: configuration.machine: at least one [[configuration.machine]] is needed`},
+		{"machine without an address", "[[configuration.machine]]\nzone = \"a\"", `x.toml:1: configuration.machine.0.address: is needed`},
+		{"machine by name", "[[configuration.machine]]\naddress = \"here:1\"", `x.toml:2: configuration.machine.0.address = "here:1": an address`},
+		{"machine twice", "[[configuration.machine]]\naddress = \"127.0.0.1:1\"\n[[configuration.machine]]\naddress = \"127.0.0.1:1\"", `x.toml:4: configuration.machine.1.address = "127.0.0.1:1": stands twice`},
+		{"machine elsewhere without a key", "[[configuration.machine]]\naddress = \"10.0.0.4:1\"", `x.toml:2: configuration.machine.0.address = "10.0.0.4:1": without key-file`},
+		{"unknown key of configuration", "[configuration]\nfolder = \"x\"\n[[configuration.machine]]\naddress = \"127.0.0.1:1\"", `x.toml:2: configuration.folder = "x": unknown; allowed are dir, key-file, machine, name, zone`},
 		{"broken text", "[peers]\nlisten = ", `x.toml:2: column`},
 	}
 	for _, c := range cases {
