--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -233,11 +233,31 @@
 			return 0, fmt.Errorf("no reload within %v", reloadWait)
 		}
 	}
-	time.Sleep(20 * time.Millisecond) // what the owner does with it, and the collector behind it
-	after, err := CPU(d.PID())
+	after, err := atRest(d.PID())
 	return after - before, err
 }
 
+const (
+	restLook = 20 * time.Millisecond
+	restCPU  = 2 * time.Millisecond // of a look in which a process counts as at rest
+	restWait = 2 * time.Second
+)
+
+// atRest waits until a process does little, as once the collector behind a reload is done, and gives the processor time
+// that it has used by then.
+func atRest(pid int) (time.Duration, error) {
+	last, err := CPU(pid)
+	for began := time.Now(); err == nil && time.Since(began) < restWait; {
+		time.Sleep(restLook)
+		var now time.Duration
+		if now, err = CPU(pid); now-last < restCPU {
+			return now, err
+		}
+		last = now
+	}
+	return last, err
+}
+
 // checksOverReload times health checks on a quiet daemon, and again while it reloads.
 func (s *Slopes) checksOverReload(d *rig.Daemon, job table, points Points) error {
 	quiet, err := timeChecks(d.Address, checkEach, checkedForSpan/2, nil)
