--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -51,6 +51,7 @@
 	Seed  int64
 	Log   *slog.Logger
 
+	failed    string // address of the machine that was lost last, which is tried after all others
 	version   atomic.Uint64
 	connected atomic.Bool
 	heard     atomic.Int64 // when a machine was last heard of, in Unix nanoseconds; 0 for never
@@ -82,6 +83,7 @@
 		machine := order[tries%len(order)]
 		began := time.Now()
 		err := w.follow(ctx, machine)
+		w.failed = machine.Address
 		w.connected.Store(false)
 		if ctx.Err() != nil {
 			return
@@ -117,21 +119,21 @@
 	}
 }
 
-// order is that in which machines are tried: those of the server's own zone first, and drawn among equals.
+// order is that in which machines are tried: those of the server's own zone first, drawn among equals, and the one that
+// was lost last behind all others.
 func (w *Watcher) order(chance *rand.Rand) []Machine {
 	order := slices.Clone(w.Machines)
 	chance.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	slices.SortStableFunc(order, func(a, b Machine) int {
+	rank := func(m Machine) int {
 		switch {
-		case a.Zone == b.Zone:
-			return 0
-		case a.Zone == w.Zone:
-			return -1
-		case b.Zone == w.Zone:
+		case m.Address == w.failed:
+			return 2
+		case m.Zone != w.Zone:
 			return 1
 		}
 		return 0
-	})
+	}
+	slices.SortStableFunc(order, func(a, b Machine) int { return rank(a) - rank(b) })
 	return order
 }
 
--- a/internal/scale/configuration.go
+++ b/internal/scale/configuration.go
@@ -117,10 +117,15 @@
 	if err := r.begin(ctx, points); err != nil {
 		return nil, points, err
 	}
-	for _, phase := range []func(context.Context, Points) ([]Figure, error){r.quiet, r.leaderLost, r.machineStopped, r.cut} {
-		more, err := phase(ctx, points)
+	for _, phase := range []struct {
+		name string
+		run  func(context.Context, Points) ([]Figure, error)
+	}{{"quiet", r.quiet}, {"leader killed", r.leaderLost}, {"machine stopped", r.machineStopped}, {"cut", r.cut}} {
+		began := time.Now()
+		more, err := phase.run(ctx, points)
+		fmt.Fprintf(os.Stderr, "%s: %.1f s\n", phase.name, time.Since(began).Seconds())
 		if err != nil {
-			return figures, points, err
+			return figures, points, fmt.Errorf("%s: %w", phase.name, err)
 		}
 		figures = append(figures, more...)
 	}
--- a/internal/scale/service.go
+++ b/internal/scale/service.go
@@ -20,6 +20,9 @@
 // serviceKey is the shared secret of a measured service, hexadecimal.
 const serviceKey = "5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e"
 
+// leaderWait is how long a leader is waited for.
+const leaderWait = 20 * time.Second
+
 // side of a cut: the machines of a side and the watchers of its zone reach each other whatever happens.
 type side string
 
@@ -162,6 +165,8 @@
 
 // Leader waits for a machine of some that leads.
 func (s *Service) Leader(ctx context.Context, among func(i int) bool) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
 	for ctx.Err() == nil {
 		for i, address := range s.sessions {
 			if s.cmds[i] == nil || !among(i) {
@@ -174,7 +179,12 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return 0, fmt.Errorf("service: no leader: %w", ctx.Err())
+	last := ""
+	for i := range s.logs {
+		lines := strings.Split(strings.TrimSpace(s.logs[i].String()), "\n")
+		last += fmt.Sprintf("\n%s: %s", s.names[i], lines[len(lines)-1])
+	}
+	return 0, fmt.Errorf("service: no leader: %w%s", ctx.Err(), last)
 }
 
 // Log is what a machine has logged since its last start.
