--- a/internal/configserve/hub.go
+++ b/internal/configserve/hub.go
@@ -30,6 +30,7 @@
 	changed  chan struct{}
 	accepted map[uint64]time.Time
 	watchers map[*watcher]bool
+	faults   map[string]fault // by name, until the watcher has a later version in force; it may be away meanwhile
 	lags     []time.Duration
 	nextLag  int // the place of the oldest, once all are taken
 }
@@ -38,15 +39,20 @@
 type watcher struct {
 	name, zone string
 	inForce    uint64
-	refused    uint64
-	fault      string
+}
+
+// fault is why a watcher could not bring a version into force.
+type fault struct {
+	zone    string
+	inForce uint64
+	words   string
 }
 
 // NewHub begins with a history of nothing.
 func NewHub() *Hub {
 	return &Hub{
 		history: configuration.NewHistory(configuration.NewDocument()), changed: make(chan struct{}),
-		accepted: map[uint64]time.Time{}, watchers: map[*watcher]bool{},
+		accepted: map[uint64]time.Time{}, watchers: map[*watcher]bool{}, faults: map[string]fault{},
 	}
 }
 
@@ -178,7 +184,11 @@
 	if at, known := h.accepted[report.Version]; known && report.Version > w.inForce {
 		h.lag(max(now.Sub(at), 0))
 	}
-	w.inForce, w.refused, w.fault = report.Version, report.Refused, report.Fault
+	w.inForce = report.Version
+	delete(h.faults, w.name)
+	if report.Fault != "" && len(h.faults) < maxBehind {
+		h.faults[w.name] = fault{w.zone, report.Version, report.Fault}
+	}
 }
 
 func (h *Hub) lag(lag time.Duration) {
@@ -199,15 +209,13 @@
 		Name: name, Leader: leader, Version: document.Version, Digest: document.Digest, Watchers: len(h.watchers),
 		Lags: slices.Clone(h.lags),
 	}
+	for name, f := range h.faults {
+		status.Behind = append(status.Behind, h.behind(name, f.zone, f.inForce, f.words, now))
+	}
 	for w := range h.watchers {
-		if w.inForce == document.Version && w.fault == "" {
-			continue
+		if _, told := h.faults[w.name]; !told && w.inForce != document.Version {
+			status.Behind = append(status.Behind, h.behind(w.name, w.zone, w.inForce, "", now))
 		}
-		behind := configwatch.Straggler{Name: w.name, Zone: w.zone, Version: w.inForce, Fault: w.fault}
-		if at, known := h.accepted[w.inForce+1]; known {
-			behind.Since = max(now.Sub(at), 0)
-		}
-		status.Behind = append(status.Behind, behind)
 	}
 	slices.SortFunc(status.Behind, func(a, b configwatch.Straggler) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
@@ -216,6 +224,15 @@
 	return status
 }
 
+// behind is a watcher that does not have the newest version in force.
+func (h *Hub) behind(name, zone string, inForce uint64, words string, now time.Time) configwatch.Straggler {
+	behind := configwatch.Straggler{Name: name, Zone: zone, Version: inForce, Fault: words}
+	if at, known := h.accepted[inForce+1]; known {
+		behind.Since = max(now.Sub(at), 0)
+	}
+	return behind
+}
+
 // String names the hub's state in logs.
 func (h *Hub) String() string {
 	h.mu.Lock()
--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -51,7 +51,7 @@
 	Seed  int64
 	Log   *slog.Logger
 
-	failed    string // address of the machine that was lost last, which is tried after all others
+	tried     map[string]bool // addresses of machines that were lost or not reached since all were tried
 	version   atomic.Uint64
 	connected atomic.Bool
 	heard     atomic.Int64 // when a machine was last heard of, in Unix nanoseconds; 0 for never
@@ -78,19 +78,17 @@
 	w.version.Store(w.Document.Version)
 	chance := rand.New(rand.NewSource(w.Seed))
 	pause := firstPause
-	for tries := 0; ; tries++ {
-		order := w.order(chance)
-		machine := order[tries%len(order)]
+	for {
+		machine := w.next(chance)
 		began := time.Now()
 		err := w.follow(ctx, machine)
-		w.failed = machine.Address
 		w.connected.Store(false)
 		if ctx.Err() != nil {
 			return
 		}
 		held := time.Since(began) > silence
 		if held { // the machine was there: all its watchers come at once
-			pause, tries = firstPause, -1
+			pause = firstPause
 		}
 		w.Log.Warn("configuration: no word of the control machine", "machine", machine.Address, "error", err,
 			"version", w.Document.Version)
@@ -119,14 +117,17 @@
 	}
 }
 
-// order is that in which machines are tried: those of the server's own zone first, drawn among equals, and the one that
-// was lost last behind all others.
-func (w *Watcher) order(chance *rand.Rand) []Machine {
+// next is the machine to be tried: one that was not tried since all were, of the server's own zone where there is one,
+// drawn among equals.
+func (w *Watcher) next(chance *rand.Rand) Machine {
+	if len(w.tried) >= len(w.Machines) || w.tried == nil {
+		w.tried = map[string]bool{}
+	}
 	order := slices.Clone(w.Machines)
 	chance.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	rank := func(m Machine) int {
 		switch {
-		case m.Address == w.failed:
+		case w.tried[m.Address]:
 			return 2
 		case m.Zone != w.Zone:
 			return 1
@@ -134,7 +135,8 @@
 		return 0
 	}
 	slices.SortStableFunc(order, func(a, b Machine) int { return rank(a) - rank(b) })
-	return order
+	w.tried[order[0].Address] = true
+	return order[0]
 }
 
 // follow holds a session with a machine until it fails.
