--- a/internal/scale/configuration.go
+++ b/internal/scale/configuration.go
@@ -472,7 +472,7 @@
 // quiet measures requests without changes and with them, and what the changes cost.
 func (r *configurationRun) quiet(ctx context.Context, points Points) ([]Figure, error) {
 	const each = time.Second
-	span := r.span(6 * time.Second)
+	span := r.span(5 * time.Second)
 	start, err := r.spent()
 	if err != nil {
 		return nil, err
@@ -551,7 +551,7 @@
 		time.Sleep(each)
 		r.service.KillMachine(leader)
 	})
-	err = r.changes(ctx, each, r.span(6*time.Second), r.Seed+1)
+	err = r.changes(ctx, each, r.span(5*time.Second), r.Seed+1)
 	group.Wait()
 	if err != nil {
 		return nil, err
