--- a/cmd/qplab/scale.go
+++ b/cmd/qplab/scale.go
@@ -100,10 +100,12 @@
 	Page   string `default:"docs/CAPACITY.md" help:"The page; what stands between its two markers is replaced."`
 }
 
-// The markers of the part of the page that is worked out.
+// The markers of the parts of the page that are worked out.
 const (
-	figuresBegin = "<!-- figures: written by make capacity -->\n"
-	figuresEnd   = "<!-- end of figures -->\n"
+	figuresBegin  = "<!-- figures: written by make capacity -->\n"
+	figuresEnd    = "<!-- end of figures -->\n"
+	comparedBegin = "<!-- before and after: written by make capacity -->\n"
+	comparedEnd   = "<!-- end of before and after -->\n"
 )
 
 // Run writes the page.
@@ -120,15 +122,30 @@
 	if err != nil {
 		return err
 	}
-	head, rest, found := strings.Cut(string(raw), figuresBegin)
-	_, tail, ended := strings.Cut(rest, figuresEnd)
-	if !found || !ended {
-		return fmt.Errorf("%s: its markers are missing", cmd.Page)
+	before, err := scale.ReadBefore(cmd.Points)
+	if err != nil {
+		return err
 	}
 	made := ""
 	for _, part := range slices.Sorted(maps.Keys(origins)) {
 		made += fmt.Sprintf("`%s.csv`: %s. ", part, origins[part])
 	}
-	text := head + figuresBegin + "\n" + scale.RenderCapacity(rows) + "\n" + made + "\n\n" + figuresEnd + tail
+	text, err := between(string(raw), figuresBegin, figuresEnd, "\n"+scale.RenderCapacity(rows)+"\n"+made+"\n\n")
+	if err == nil {
+		text, err = between(text, comparedBegin, comparedEnd, "\n"+scale.RenderCompared(before, points)+"\n")
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", cmd.Page, err)
+	}
 	return os.WriteFile(cmd.Page, []byte(text), 0o644)
 }
+
+// between replaces what stands between two markers.
+func between(text, begin, end, by string) (string, error) {
+	head, rest, begun := strings.Cut(text, begin)
+	_, tail, ended := strings.Cut(rest, end)
+	if !begun || !ended {
+		return "", fmt.Errorf("marker %q or %q is missing", strings.TrimSpace(begin), strings.TrimSpace(end))
+	}
+	return head + begin + by + end + tail, nil
+}
--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -233,6 +233,37 @@
 	return out.String()
 }
 
+// compared are the series whose cost was mended, at the planned size.
+var compared = []struct {
+	name, series string
+	x            float64
+	unit         string
+}{
+	{"idle core, whole tables", seriesIdle + bySize, 100, "%"},
+	{"SIGHUP that changes nothing", seriesReloadSame + bySize, 100, "ms of cpu"},
+	{"SIGHUP that changes one setting", seriesReloadMoved + bySize, 100, "ms of cpu"},
+	{"health check p99 within 1.5 s of a reload", seriesCheckReload, 100, "ms"},
+	{"memory after reloads, whole tables", seriesAfterReloads + bySize, 100, "MB"},
+	{"exchange bytes of a quiet fleet of 500", seriesQuietBytes, PlannedServers, "B/s a server"},
+	{"control core of a quiet fleet of 500", seriesQuietCore, PlannedServers, "% a server"},
+}
+
+// RenderCompared is the table of what was mended, before and after.
+func RenderCompared(before, after Points) string {
+	var out strings.Builder
+	out.WriteString("| what | before | after | |\n| --- | --- | --- | --- |\n")
+	for _, c := range compared {
+		was, knownWas := before.At(c.series, c.x)
+		is, knownIs := after.At(c.series, c.x)
+		if !knownWas || !knownIs {
+			fmt.Fprintf(&out, "| %s | not measured | | |\n", c.name)
+			continue
+		}
+		fmt.Fprintf(&out, "| %s | %s | %s | %s |\n", c.name, rounded(was), rounded(is), c.unit)
+	}
+	return out.String()
+}
+
 // rounded is a value with three figures that count.
 func rounded(v float64) string {
 	if math.Abs(v) >= 1000 {
@@ -241,6 +272,19 @@
 	return fmt.Sprintf("%.3g", v)
 }
 
+// ReadBefore takes the points that were measured before the mends.
+func ReadBefore(folder string) (Points, error) {
+	all := Points{}
+	for _, part := range []string{"slopes", "fleets"} {
+		points, _, err := Read(filepath.Join(folder, "before", part+".csv"))
+		if err != nil {
+			return nil, err
+		}
+		all.Merge(points)
+	}
+	return all, nil
+}
+
 // ReadAll takes the points of all parts that a folder holds, with what made each.
 func ReadAll(folder string) (Points, map[string]string, error) {
 	all, origins := Points{}, map[string]string{}
--- a/internal/scale/fleet_test.go
+++ b/internal/scale/fleet_test.go
@@ -61,6 +61,9 @@
 	raw, err := os.ReadFile(filepath.Join(root, "docs", "CAPACITY.md"))
 	require.NoError(t, err)
 	assert.Contains(t, string(raw), RenderCapacity(rows), "make capacity writes the figures into the page")
+	before, err := ReadBefore(filepath.Join(root, "results", "scale"))
+	require.NoError(t, err)
+	assert.Contains(t, string(raw), RenderCompared(before, points))
 	for part, origin := range origins {
 		assert.Contains(t, string(raw), origin, "%s: the page says what made the points", part)
 	}
