--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -38,6 +38,8 @@
 	regionLost  = PlannedServers / 2
 	// checkFrameBytes are those of a health check and its answer with a level, without the headers below.
 	checkFrameBytes = 10 + 22
+	packetHeaders   = 40  // of TCP and IP, without options
+	checksNear      = 500 // a second, the measured rate next to that of the plan
 )
 
 var errNotMeasured = errors.New("not measured")
@@ -103,19 +105,23 @@
 
 	checks := PlannedCallers / AssumedCheckPeriod.Seconds()
 	p.add(CapacityRow{role, "period of a caller's checks", AssumedCheckPeriod.Seconds(), "s", 0, Assumed, "stated nowhere"})
-	line := p.line(fmt.Sprintf(seriesChecks, PlannedRoutes))
+	series := fmt.Sprintf(seriesChecks, PlannedRoutes)
 	checkCore := p.add(CapacityRow{
-		role, "core of checks", line.Slope * checks, "%", 0, WorkedOut,
-		fmt.Sprintf("%.0f a second x %s%% each%s", checks, number(line.Slope), bend(line)),
+		role, "core of checks", (p.at(series, checksNear) - p.at(series, 0)) * checks / checksNear, "%", 0, WorkedOut,
+		fmt.Sprintf("%.0f a second, by what %d a second took over none", checks, checksNear),
 	})
 	checkBytes := p.add(CapacityRow{
 		role, "bytes of checks, without headers", checks * checkFrameBytes, "B/s", 0, WorkedOut,
 		fmt.Sprintf("%.0f a second x %d", checks, checkFrameBytes),
 	})
+	p.add(CapacityRow{
+		role, "bytes of checks, with those of two packets' headers", checks * (checkFrameBytes + 2*packetHeaders), "B/s", BudgetBytes, WorkedOut,
+		fmt.Sprintf("%.0f a second x (%d + 2 x %d)", checks, checkFrameBytes, packetHeaders),
+	})
 	watchCore := p.measured(role, "core of the watch, 95 times the stated rate", seriesWatchCore, 1, "%", 0)
 	watchBytes := p.measured(role, "bytes of the watch, 95 times the stated rate", seriesWatchBytes, 1, "B/s", 0)
 	member := p.at(seriesMemberBytes, PlannedServers)
-	restart := p.at(seriesNewcomerBytes, PlannedServers) * PlannedRestarts / secondsADay
+	restart := p.at(seriesNewcomerBytes, PlannedServers) * PlannedRestarts / secondsADay / PlannedServers
 	p.add(CapacityRow{role, "**control: core**", idle + checkCore + watchCore, "%", 100 * BudgetCore, WorkedOut, "idle + checks + watch"})
 	p.add(CapacityRow{role, "**control: memory**", memory + connections, "MB", BudgetMemoryMB, WorkedOut, "tables after reloads + connections"})
 	p.add(CapacityRow{
