--- /dev/null
+++ b/internal/scale/configuration_run.go
@@ -0,0 +1,308 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"quartzpoint/configuration"
+	"quartzpoint/internal/configwatch"
+	"quartzpoint/internal/rig"
+)
+
+// configurationRun is one run.
+type configurationRun struct {
+	*Configuration
+	service  *Service
+	children []*watcherChild
+	servers  []*rig.Daemon
+	recorder *configwatch.Watcher
+
+	mu      sync.Mutex
+	history History
+	newest  map[string]uint64 // in force, by server
+	marker  float64
+}
+
+// watcherChild is a process of hollow watchers.
+type watcherChild struct {
+	cmd     *exec.Cmd
+	in      io.WriteCloser
+	answers chan watcherLine
+	side    side
+	count   int
+}
+
+// begin starts everything and has the whole tables in force everywhere.
+func (r *configurationRun) begin(ctx context.Context, points Points) (err error) {
+	if r.service, err = StartService(r.Configuration.Service, r.Folder); err != nil {
+		return err
+	}
+	if _, err := r.service.Leader(ctx, func(int) bool { return true }); err != nil {
+		return err
+	}
+	site, err := Site(r.part(PlannedRoutes), r.part(PlannedTenants), "", "", "")
+	if err != nil {
+		return err
+	}
+	whole, err := configuration.ReadChange(site)
+	if err != nil {
+		return err
+	}
+	if err := r.propose(ctx, whole); err != nil {
+		return err
+	}
+	document := configuration.NewDocument()
+	document.Accept(whole)
+	points.Add(seriesSnapshotBytes, 100*float64(r.part(PlannedRoutes))/PlannedRoutes, float64(len(document.Snapshot())))
+	r.record(ctx)
+	for i := range watcherProcesses {
+		count := r.part(hollowWatchers)*(i+1)/watcherProcesses - r.part(hollowWatchers)*i/watcherProcesses
+		at := []side{majority, minority}[i%2]
+		if err := r.startWatchers(i, count, at); err != nil {
+			return err
+		}
+	}
+	for i := range appServers {
+		if err := r.startServer(i); err != nil {
+			return err
+		}
+	}
+	_, err = r.everywhere(ctx, 1)
+	return err
+}
+
+// record follows the service from version 0 without faults, as the history of what was.
+func (r *configurationRun) record(ctx context.Context) {
+	machines := []configwatch.Machine{}
+	for _, address := range r.service.sessions {
+		machines = append(machines, configwatch.Machine{Address: address})
+	}
+	marker := 0.0
+	r.recorder = &configwatch.Watcher{
+		Name: "recorder", Machines: machines, Keys: r.service.keys, Document: configuration.NewDocument(), Seed: r.Seed, Log: discard,
+		Apply: func(_ context.Context, delta configuration.Delta, _ *configuration.Document) error {
+			if stated := delta.Tenants[markerTenant]; stated != nil {
+				marker = stated.Rate
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.history.Steps = append(r.history.Steps, Step{delta.Version, delta.Digest, marker})
+			return nil
+		},
+	}
+	go r.recorder.Run(ctx)
+}
+
+// propose has a change accepted, with the next marker, and records that.
+func (r *configurationRun) propose(ctx context.Context, change configuration.Change) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*aimInForce)
+	defer cancel()
+	r.marker++
+	if change.Tenants == nil {
+		change.Tenants = map[string]*configuration.Tenant{}
+	}
+	change.Tenants[markerTenant] = &configuration.Tenant{Rate: r.marker}
+	change.ID = fmt.Sprintf("measured-%g", r.marker)
+	proposed := time.Now()
+	version, err := configwatch.Propose(ctx, r.service.sessions, r.service.keys, change)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Accepted = append(r.history.Accepted, Accepted{r.marker, version, proposed})
+	return nil
+}
+
+// changes has one route changed every so often over a span.
+func (r *configurationRun) changes(ctx context.Context, each, span time.Duration, seed int64) error {
+	chance := rand.New(rand.NewSource(seed))
+	for began := time.Now(); time.Since(began) < span && ctx.Err() == nil; {
+		next := time.Now().Add(each)
+		place := 1 + keyedEvery*chance.Intn(r.part(PlannedRoutes)/keyedEvery)
+		route := &configuration.Route{
+			LatencyTarget: 900_000, Deadline: 3_000_000 + int64(chance.Intn(1000)), Value: 1, Idempotency: configuration.Retryable,
+		}
+		if err := r.propose(ctx, configuration.Change{Routes: map[string]*configuration.Route{RouteName(place): route}}); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(next))
+	}
+	return ctx.Err()
+}
+
+// startWatchers starts a process of hollow watchers.
+func (r *configurationRun) startWatchers(place, count int, at side) error {
+	first := place * r.part(hollowWatchers)
+	c := &watcherChild{cmd: exec.Command(r.Program, "watchers"), answers: make(chan watcherLine, 1), side: at, count: count}
+	c.cmd.Stderr = os.Stderr
+	in, errIn := c.cmd.StdinPipe()
+	out, errOut := c.cmd.StdoutPipe()
+	if err := errors.Join(errIn, errOut, c.cmd.Start()); err != nil {
+		return fmt.Errorf("watchers: %w", err)
+	}
+	c.in = in
+	r.children = append(r.children, c)
+	r.mu.Lock()
+	for i := range count {
+		r.newest[watcherName(first+i)] = 0
+	}
+	r.mu.Unlock()
+	go r.read(c, out)
+	return json.NewEncoder(in).Encode(WatcherSpec{
+		First: first, Count: count, Zone: string(at), Machines: r.service.Watched(at), Key: serviceKey, Seed: r.Seed + int64(place),
+	})
+}
+
+func watcherName(place int) string { return fmt.Sprintf("hollow-%d", place) }
+
+// read takes what a process of watchers writes.
+func (r *configurationRun) read(c *watcherChild, from io.Reader) {
+	lines := bufio.NewScanner(from)
+	for lines.Scan() {
+		var line watcherLine
+		if json.Unmarshal(lines.Bytes(), &line) != nil {
+			continue
+		}
+		if line.Answer != nil {
+			c.answers <- line
+			continue
+		}
+		name := watcherName(line.Event.Watcher)
+		r.mu.Lock()
+		r.history.InForce = append(r.history.InForce, InForce{
+			name, line.Event.Version, line.Event.Digest, time.Unix(0, line.Event.At), line.Event.Started,
+		})
+		r.newest[name] = line.Event.Version
+		r.mu.Unlock()
+	}
+	close(c.answers)
+}
+
+// ask sends a command and waits for its answer.
+func (c *watcherChild) ask(command watcherCommand) (watcherLine, error) {
+	if err := json.NewEncoder(c.in).Encode(command); err != nil {
+		return watcherLine{}, fmt.Errorf("watchers: %w", err)
+	}
+	line, open := <-c.answers
+	if !open {
+		return line, errors.New("watchers: the process has ended")
+	}
+	return line, nil
+}
+
+// startServer starts a real app server that follows the service.
+func (r *configurationRun) startServer(i int) error {
+	name := fmt.Sprintf("app-%d", i)
+	own := fmt.Sprintf("[configuration]\nname = %q\nzone = %q\nkey-file = %q\ndir = %q\n", name, majority, r.service.keyFile(),
+		filepath.Join(r.Folder, name+"-kept"))
+	for _, m := range r.service.Watched(majority) {
+		own += fmt.Sprintf("[[configuration.machine]]\nzone = %q\naddress = %q\n", m.Zone, m.Address)
+	}
+	machine := rig.Machine{Cores: machineCores, Speed: 1, KB: 4e6}
+	d, err := rig.Launch(r.Daemon, []string{"serve"}, r.Folder, name, machine, own, func(listen, pool, members string) ([]byte, error) {
+		return Site(r.part(PlannedRoutes), r.part(PlannedTenants), listen, pool, members)
+	})
+	if err != nil {
+		return err
+	}
+	r.servers = append(r.servers, d)
+	return nil
+}
+
+var inForceLine = regexp.MustCompile(`time=(\S+) level=INFO msg="configuration: in force" version=(\d+)`)
+
+// versionOf is what a real server logged last as in force.
+func versionOf(d *rig.Daemon) uint64 {
+	all := inForceLine.FindAllStringSubmatch(d.Log(), -1)
+	if len(all) == 0 {
+		return 0
+	}
+	version, _ := strconv.ParseUint(all[len(all)-1][2], 10, 64) // digits
+	return version
+}
+
+// serverEvents takes what the real servers logged into the history.
+func (r *configurationRun) serverEvents() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	digests := map[uint64]configuration.Digest{}
+	for _, step := range r.history.Steps {
+		digests[step.Version] = step.Digest
+	}
+	for i, d := range r.servers {
+		for _, found := range inForceLine.FindAllStringSubmatch(d.Log(), -1) {
+			version, _ := strconv.ParseUint(found[2], 10, 64) // digits
+			at, err := time.Parse(time.RFC3339Nano, found[1])
+			if err != nil {
+				continue
+			}
+			// A server logs no digest; its watcher compared the content with that of the delta.
+			r.history.InForce = append(r.history.InForce, InForce{fmt.Sprintf("app-%d", i), version, digests[version], at, false})
+		}
+	}
+}
+
+// everywhere waits until a version, or a later one, is in force at all, and gives how long that took.
+func (r *configurationRun) everywhere(ctx context.Context, version uint64) (time.Duration, error) {
+	const patience = 40 * time.Second
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		behind := []string{}
+		r.mu.Lock()
+		for name, at := range r.newest {
+			if at < version {
+				behind = append(behind, name)
+			}
+		}
+		if steps := r.history.Steps; len(steps) == 0 || steps[len(steps)-1].Version < version {
+			behind = append(behind, "recorder")
+		}
+		r.mu.Unlock()
+		for i, d := range r.servers {
+			if versionOf(d) < version {
+				behind = append(behind, fmt.Sprintf("app-%d", i))
+			}
+		}
+		switch {
+		case len(behind) == 0:
+			return time.Since(began), nil
+		case time.Since(began) > patience || ctx.Err() != nil:
+			slices.Sort(behind)
+			return 0, fmt.Errorf("version %d not in force after %v at %d servers, %s among them", version, patience, len(behind), behind[0])
+		}
+	}
+}
+
+// accepted is the newest accepted version.
+func (r *configurationRun) accepted() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.Accepted[len(r.history.Accepted)-1].Version
+}
+
+func (r *configurationRun) stop() (err error) {
+	for _, c := range r.children {
+		_ = c.in.Close()
+		err = errors.Join(err, c.cmd.Wait())
+	}
+	for _, d := range r.servers {
+		err = errors.Join(err, d.Stop())
+	}
+	if r.service != nil {
+		err = errors.Join(err, r.service.Stop())
+	}
+	return err
+}
