--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -40,6 +40,8 @@
 	checkFrameBytes = 10 + 22
 	packetHeaders   = 40  // of TCP and IP, without options
 	checksNear      = 500 // a second, the measured rate next to that of the plan
+
+	measuredRequests = 260 // a second, the largest rate
 )
 
 var errNotMeasured = errors.New("not measured")
@@ -146,6 +148,9 @@
 		servers int
 	}{{"on 500 servers", PlannedServers}, {"with a zone lost", zoneLost}, {"with a region lost", regionLost}} {
 		rate := float64(PlannedRequests) / float64(c.servers)
+		if rate > measuredRequests && !line.Straight {
+			continue // nothing is worked out past the points of what is no line
+		}
 		p.add(CapacityRow{
 			role, "requests' core " + c.when, line.At(rate), "%", 0, WorkedOut,
 			fmt.Sprintf("%.0f a second, line%s", rate, bend(line)),
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -8,8 +8,9 @@
 
 const (
 	// straightWithin is how far the worst point may lie from a line, as a part of the range of values, for the cost to
-	// count as one that grows as a line. Past it no figure is worked out by the line.
-	straightWithin = 0.15
+	// count as one that grows as a line. Past it no figure is worked out by the line. Of a square's four or five points the
+	// worst lies off by a ninth and more, so a square is none.
+	straightWithin = 0.1
 	// flatWithin is the range of values, as a part of the largest, below which a cost counts as constant.
 	flatWithin = 0.1
 )
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -362,7 +362,7 @@
 // through it and straight to workers of the same kind, one behind the other.
 func (s *Slopes) requests(context.Context) (Points, error) {
 	points := Points{}
-	rates := []float64{0, 60, 120, 180, PlannedRequests / PlannedServers, 260}
+	rates := []float64{0, 60, 120, 180, PlannedRequests / PlannedServers, measuredRequests}
 	for _, routes := range s.bothSizes() {
 		series := fmt.Sprintf(seriesRequests, plannedOr(routes, s.size()))
 		err := s.loaded(routes, func(d *rig.Daemon) error {
