--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 measure-emulator: build
 	bin/qplab measure emulator
 
-# A daemon and a hollow fleet at a fifth of the planned size, held against the budgets; sockets, emulated workers.
+# A daemon at the planned size and small hollow fleets, held against the budgets; sockets, emulated workers.
 measure-scale: build
 	bin/qplab measure scale
 
--- a/cmd/qplab/main.go
+++ b/cmd/qplab/main.go
@@ -30,7 +30,7 @@
 	Peers         measurePeers         `cmd:"" help:"What a newcomer gains, or loses, by its peers' word."`
 	Emulator      measureEmulator      `cmd:"" help:"The emulator beside real daemons, its speed, and policies over drills."`
 	Configuration measureConfiguration `cmd:"" help:"Whether changes of configuration are in force everywhere in time, through losses and cuts."`
-	Scale         measureScale         `cmd:"" help:"Whether a daemon and a hollow fleet of a fifth of the planned size keep to the budgets."`
+	Scale         measureScale         `cmd:"" help:"Whether a daemon at the planned size, and small hollow fleets, keep to the budgets."`
 	State         measureState         `cmd:"" help:"What a folder of state is worth at a restart, and what it costs."`
 }
 
--- a/internal/scale/budgets.go
+++ b/internal/scale/budgets.go
@@ -1,13 +1,16 @@
 package scale
 
-// Budgets holds what was measured, at whatever part of the planned size, against what control may cost a server. Where a
-// cost grew as a line it is worked out for the planned size; else the largest that was measured stands.
+import "math"
+
+// Budgets holds what was measured against what control may cost a server. What was measured more than once at a size stands
+// by its mean.
 func Budgets(p Points) []Figure {
 	at := func(series string, x float64) float64 {
-		if line := p.Fit(series); line.Straight {
-			return line.At(x)
+		value, measured := p.At(series, x)
+		if !measured {
+			return math.NaN() // which keeps to no budget
 		}
-		return p.largest(series)
+		return value
 	}
 	return []Figure{
 		{"resident memory, whole tables", at(seriesResident+bySize, 100), BudgetMemoryMB, "MB"},
@@ -16,7 +19,7 @@
 		{"memory of the callers' connections", at(seriesConnectionsMB, PlannedCallers) - at(seriesConnectionsMB, 0), BudgetMemoryMB, "MB"},
 		{"control core of a quiet hollow server", p.largest(seriesQuietCore), 100 * BudgetCore, "%"},
 		{"membership bytes", p.largest(seriesMemberBytes), BudgetBytes, "B/s"},
-		{"added to a request, p99", p.largest(seriesAddedP99), BudgetLatencyMS, "ms"},
+		{"added to a request at 220 a second, p99", at(seriesAddedP99, PlannedRequests/PlannedServers), BudgetLatencyMS, "ms"},
 		{"most holders of one duty while regions are cut", p.largest(seriesCutHolders), 1, ""},
 	}
 }
--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -120,8 +120,8 @@
 		role, "bytes of checks, with those of two packets' headers", checks * (checkFrameBytes + 2*packetHeaders), "B/s", BudgetBytes, WorkedOut,
 		fmt.Sprintf("%.0f a second x (%d + 2 x %d)", checks, checkFrameBytes, packetHeaders),
 	})
-	watchCore := p.measured(role, "core of the watch, 95 times the stated rate", seriesWatchCore, 1, "%", 0)
-	watchBytes := p.measured(role, "bytes of the watch, 95 times the stated rate", seriesWatchBytes, 1, "B/s", 0)
+	watchCore := p.measured(role, "core of the watch, 190 times the stated rate", seriesWatchCore, 2, "%", 0)
+	watchBytes := p.measured(role, "bytes of the watch, 190 times the stated rate", seriesWatchBytes, 2, "B/s", 0)
 	member := p.at(seriesMemberBytes, PlannedServers)
 	restart := p.at(seriesNewcomerBytes, PlannedServers) * PlannedRestarts / secondsADay / PlannedServers
 	p.add(CapacityRow{role, "**control: core**", idle + checkCore + watchCore, "%", 100 * BudgetCore, WorkedOut, "idle + checks + watch"})
@@ -207,10 +207,10 @@
 
 func (p *page) control() {
 	const role = "control machines"
-	p.measured(role, "core of the busiest, 98 watchers, 95 times the stated rate", seriesControlCore, 1, "%", 0)
-	p.measured(role, "memory of the largest", seriesControlMB, 1, "MB", 0)
-	p.measured(role, "a change proposed to in force everywhere, p99", seriesLagP99, 1, "s", 0)
-	p.measured(role, "a change proposed to in force everywhere, worst", seriesLagWorst, 1, "s", aimInForce.Seconds())
+	p.measured(role, "core of the busiest, 98 watchers, 190 times the stated rate", seriesControlCore, 2, "%", 0)
+	p.measured(role, "memory of the largest", seriesControlMB, 2, "MB", 0)
+	p.measured(role, "a change proposed to in force everywhere, p99", seriesLagP99, 2, "s", 0)
+	p.measured(role, "a change proposed to in force everywhere, worst", seriesLagWorst, 2, "s", aimInForce.Seconds())
 	p.measured(role, "the same, leader killed, worst", seriesLeaderWorst, 4, "s", 0)
 	whole := p.measured(role, "whole document", seriesSnapshotBytes, 100, "B", 0)
 	p.add(CapacityRow{
--- a/internal/scale/configuration.go
+++ b/internal/scale/configuration.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"quartzpoint/internal/rig"
 )
 
@@ -173,15 +175,17 @@
 	return took, err
 }
 
-// quiet measures requests without changes and with them, and what the changes cost.
+const (
+	requestSpan    = 5 * time.Second
+	requestChanges = 5 * time.Second // between changes beside requests: over ten times the stated rate
+	quietSpan      = 3 * time.Second
+	quietChanges   = time.Second / 2 // between changes with nothing beside them
+)
+
+// quiet measures what requests take without changes and with them, and then, with nothing beside them, what changes cost
+// and how long they take.
 func (r *configurationRun) quiet(ctx context.Context, points Points) ([]Figure, error) {
-	const each = time.Second
-	span := r.span(5 * time.Second)
-	start, err := r.spent()
-	if err != nil {
-		return nil, err
-	}
-	calm, err := r.requests(span)
+	slower, err := r.beside(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -189,13 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var busy []float64
-	var failed error
-	var group sync.WaitGroup
-	group.Go(func() { busy, failed = r.requests(span) })
-	err = r.changes(ctx, each, span, r.Seed)
-	group.Wait()
-	if err := errors.Join(err, failed); err != nil {
+	if err := r.changes(ctx, quietChanges, r.span(quietSpan), r.Seed); err != nil {
 		return nil, err
 	}
 	if _, err := r.everywhere(ctx, r.accepted()); err != nil {
@@ -205,12 +203,11 @@
 	if err != nil {
 		return nil, err
 	}
-	rate := 1 / each.Seconds()
-	lags := r.lags(before.at, after.at)
+	rate, lags := 1/quietChanges.Seconds(), r.lags(before.at, after.at)
 	seconds, watchers := after.at.Sub(before.at).Seconds(), float64(r.part(hollowWatchers))
 	bytes := float64(after.bytes-before.bytes) / seconds / watchers
 	core := 100 * (after.watchers - before.watchers).Seconds() / seconds / watchers
-	servers := 100 * ((after.servers-before.servers).Seconds()/seconds - (before.servers-start.servers).Seconds()/before.at.Sub(start.at).Seconds()) / appServers
+	servers := 100 * (after.servers - before.servers).Seconds() / seconds / appServers
 	busiest, largest := 0.0, 0.0
 	for i, cmd := range r.service.cmds {
 		busiest = max(busiest, 100*(after.control[i]-before.control[i]).Seconds()/seconds)
@@ -226,19 +223,44 @@
 	points.Add(seriesWatchCore, rate, core)
 	points.Add(seriesControlCore, rate, busiest)
 	points.Add(seriesControlMB, rate, largest)
+	return append(slower,
+		Figure{"quiet: changes a second, times the stated rate", rate / plannedPerSecond, 0, ""},
+		Figure{"quiet: proposed to in force p50", quantile(lags, 0.5), 0, "s"},
+		Figure{"quiet: proposed to in force p99", quantile(lags, 0.99), 0, "s"},
+		Figure{"quiet: proposed to in force at the worst", quantile(lags, 1), aimQuiet.Seconds(), "s"},
+		Figure{"quiet: bytes a second and server", bytes, BudgetBytes, "B/s"},
+		Figure{"quiet: core of a hollow server", core, 100 * BudgetCore, "%"},
+		Figure{"quiet: core of a real server, all of it, without requests", servers, 100 * BudgetCore, "%"},
+		Figure{"quiet: core of the busiest control machine", busiest, 0, "%"},
+		Figure{"quiet: memory of the largest control machine", largest, 0, "MB"},
+	), nil
+}
+
+// beside measures requests without changes, and then the same with changes at over ten times the stated rate. More of
+// them would show this machine's hollow servers, which all work in the moment of a change, and not a server's own.
+func (r *configurationRun) beside(ctx context.Context) ([]Figure, error) {
+	span := r.span(requestSpan)
+	calm, err := r.requests(span)
+	if err != nil {
+		return nil, err
+	}
+	var busy []float64
+	var failed error
+	var group sync.WaitGroup
+	group.Go(func() { busy, failed = r.requests(span) })
+	err = r.changes(ctx, r.span(requestChanges), span, r.Seed)
+	group.Wait()
+	if err := errors.Join(err, failed); err != nil {
+		return nil, err
+	}
+	if _, err := r.everywhere(ctx, r.accepted()); err != nil {
+		return nil, err
+	}
 	quietP99, busyP99 := quantile(calm, 0.99), quantile(busy, 0.99)
 	return []Figure{
-		{"quiet: changes a second, times the stated rate", rate / plannedPerSecond, 0, ""},
-		{"quiet: proposed to in force p50", quantile(lags, 0.5), 0, "s"},
-		{"quiet: proposed to in force p99", quantile(lags, 0.99), 0, "s"},
-		{"quiet: proposed to in force at the worst", quantile(lags, 1), aimQuiet.Seconds(), "s"},
-		{"quiet: bytes a second and server", bytes, BudgetBytes, "B/s"},
-		{"quiet: core of a hollow server", core, 100 * BudgetCore, "%"},
-		{"quiet: core of a real server, over that without changes", servers, 100 * BudgetCore, "%"},
-		{"quiet: core of the busiest control machine", busiest, 0, "%"},
-		{"quiet: memory of the largest control machine", largest, 0, "MB"},
-		{"quiet: request p99 without changes", quietP99, 0, "ms"},
-		{"quiet: request p99 with changes, times that", busyP99 / quietP99, aimSlower, ""},
+		{"requests: changes a second, times the stated rate", 1 / r.span(requestChanges).Seconds() / plannedPerSecond, 0, ""},
+		{"requests: p99 without changes", quietP99, 0, "ms"},
+		{"requests: p99 with changes, times that", busyP99 / quietP99, aimSlower, ""},
 	}, nil
 }
 
@@ -255,7 +277,7 @@
 		time.Sleep(each)
 		r.service.KillMachine(leader)
 	})
-	err = r.changes(ctx, each, r.span(5*time.Second), r.Seed+1)
+	err = r.changes(ctx, each, r.span(4*time.Second), r.Seed+1)
 	group.Wait()
 	if err != nil {
 		return nil, err
@@ -288,14 +310,14 @@
 	}
 	restarted := time.Now()
 	back := r.part(ZoneServers)
-	if _, err := r.children[0].ask(watcherCommand{Restart: back}); err != nil {
+	if err := r.restart(back); err != nil {
 		return nil, err
 	}
 	if _, err := r.everywhere(ctx, r.accepted()); err != nil {
 		return nil, err
 	}
 	zone := time.Since(restarted)
-	if err := r.changes(ctx, time.Second, r.span(2*time.Second), r.Seed+3); err != nil {
+	if err := r.changes(ctx, time.Second, r.span(time.Second), r.Seed+3); err != nil {
 		return nil, err
 	}
 	if err := r.service.Signal(stopped, syscall.SIGCONT); err != nil {
@@ -312,6 +334,19 @@
 	}, nil
 }
 
+// restart has watchers of all processes stop, and start with nothing.
+func (r *configurationRun) restart(count int) error {
+	var group errgroup.Group
+	for i, c := range r.children {
+		share := count*(i+1)/len(r.children) - count*i/len(r.children)
+		group.Go(func() error {
+			_, err := c.ask(watcherCommand{Restart: share})
+			return err
+		})
+	}
+	return group.Wait()
+}
+
 // cut parts two of the machines and half of the watchers from the rest while changes go on, and heals that.
 func (r *configurationRun) cut(ctx context.Context, points Points) ([]Figure, error) {
 	r.service.Cut()
--- a/internal/scale/fleets.go
+++ b/internal/scale/fleets.go
@@ -95,10 +95,10 @@
 	return []int{10, 125, 250, 375, PlannedServers}
 }
 
-// few are the first three of some points where the run is small.
+// few are the first two of some points where the run is small.
 func (f *Fleets) few(points ...int) []int {
 	if f.Small {
-		return points[:3]
+		return points[:2]
 	}
 	return points
 }
--- a/internal/scale/watchers.go
+++ b/internal/scale/watchers.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"math/rand"
+	"runtime"
 	"sync"
 	"time"
 
@@ -50,6 +51,10 @@
 // discard is a log that nobody reads.
 var discard = slog.New(slog.DiscardHandler)
 
+// watcherCores are those of a process of watchers: a hundred servers' worth of work must not crowd the machine that
+// everything else is measured on.
+const watcherCores = 2
+
 // hollowWatcher is one server's real watch with nothing behind it.
 type hollowWatcher struct {
 	place  int
@@ -89,6 +94,7 @@
 	if err != nil {
 		return fmt.Errorf("watchers: key: %w", err)
 	}
+	runtime.GOMAXPROCS(watcherCores)
 	writer := &lineWriter{out: bufio.NewWriter(out)}
 	watchers := make([]*hollowWatcher, spec.Count)
 	for i := range watchers {
