Read-back: the watch reads its keys by keysOf; a method of the hub that nobody called is gone

Behaviour as before. Lint, the tests of configserve, quartzconfig and of the start with kept tables passed.

--- a/cmd/quartzpoint/configuration.go
+++ b/cmd/quartzpoint/configuration.go
@@ -12,7 +12,6 @@
 	"quartzpoint/internal/config"
 	"quartzpoint/internal/configwatch"
 	"quartzpoint/internal/control"
-	"quartzpoint/internal/exchange"
 	"quartzpoint/internal/folder"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/settings"
@@ -44,13 +43,9 @@
 	if stated == nil {
 		return nil, nil, nil
 	}
-	var keys exchange.Keys
-	if stated.KeyFile != "" {
-		read, err := exchange.ReadKeys(stated.KeyFile)
-		if err != nil {
-			return nil, nil, err
-		}
-		keys = read
+	keys, err := keysOf(stated.KeyFile)
+	if err != nil {
+		return nil, nil, err
 	}
 	k := &tableKeeper{owner: owner, memory: memory}
 	k.baseRoutes, k.baseTenants = owner.Tables()
--- a/internal/configserve/hub.go
+++ b/internal/configserve/hub.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -232,10 +231,3 @@
 	}
 	return behind
 }
-
-// String names the hub's state in logs.
-func (h *Hub) String() string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return fmt.Sprintf("version %d, %d watchers", h.history.Document.Version, len(h.watchers))
-}
