--- /dev/null
+++ b/cmd/qplab/configuration.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"text/tabwriter"
+
+	"quartzpoint/internal/scale"
+)
+
+// watchers is the process that holds hollow watchers.
+type watchers struct{}
+
+// Run holds them until the input ends.
+func (*watchers) Run() error { return scale.RunWatchers(os.Stdin, os.Stdout) }
+
+// measureConfiguration measures the configuration service.
+type measureConfiguration struct {
+	Daemon  string `default:"bin/quartzpoint" help:"The app server's program."`
+	Service string `default:"bin/quartzconfig" help:"The configuration service's program."`
+	Seed    int64  `default:"1" help:"Of the changes and of the fleet's choices."`
+	Small   bool   `help:"A tenth of the tables and watchers and shorter spans; a check that all of it works."`
+	Out     string `help:"Folder for the points (CSV); nothing is written without it."`
+}
+
+// Run measures, prints every figure, and fails where an aim is missed or the recorded history does not hold.
+func (cmd *measureConfiguration) Run() error {
+	origin := scale.Here(cmd.Seed)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	folder, err := os.MkdirTemp("", "configuration")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	self, errSelf := os.Executable()
+	daemon, errDaemon := filepath.Abs(cmd.Daemon)
+	service, errService := filepath.Abs(cmd.Service)
+	if err := errors.Join(errSelf, errDaemon, errService); err != nil {
+		return err
+	}
+	run := &scale.Configuration{Daemon: daemon, Service: service, Program: self, Folder: folder, Seed: cmd.Seed, Small: cmd.Small}
+	figures, points, err := run.Run(ctx)
+	failed := errors.Join(err, printFigures("configuration", figures))
+	if cmd.Out != "" && err == nil {
+		failed = errors.Join(failed, scale.Publish(cmd.Out, map[string]scale.Points{"configuration": points}, origin))
+	}
+	return failed
+}
+
+// printFigures prints figures with their aims and a last line of them all, and tells which aims were missed.
+func printFigures(name string, figures []scale.Figure) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "what\tvalue\tat most\tunit\t")
+	var missed []error
+	line := ""
+	for _, f := range figures {
+		aim := "-"
+		if f.Most > 0 {
+			aim = fmt.Sprintf("%.4g", f.Most)
+			line += fmt.Sprintf(" %s %.3g of %.3g%s;", f.Name, f.Value, f.Most, f.Unit)
+		}
+		fmt.Fprintf(table, "%s\t%.4g\t%s\t%s\t\n", f.Name, f.Value, aim, f.Unit)
+		if f.Missed() {
+			missed = append(missed, fmt.Errorf("%s: %.4g%s, %.4g at most is aimed at", f.Name, f.Value, f.Unit, f.Most))
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	fmt.Printf("measure %s:%s\n", name, line)
+	return errors.Join(missed...)
+}
--- a/cmd/qplab/main.go
+++ b/cmd/qplab/main.go
@@ -16,6 +16,8 @@
 	Drill      playing       `cmd:"" help:"Play a drill on an emulated fleet, in simulated time."`
 	Experiment experimenting `cmd:"" help:"Run drills by policies by seeds, and write tables, charts and a report."`
 	Hollow     hollow        `cmd:"" hidden:"" help:"Hold a part of a hollow fleet; scale starts it."`
+	Watchers   watchers      `cmd:"" hidden:"" help:"Hold watchers of the configuration service; measure configuration starts it."`
+	Capacity   capacity      `cmd:"" help:"Write what the points of scale give into the capacity page."`
 	Scale      scaling       `cmd:"" help:"Measure what the programs cost up to the planned size, and write points and charts."`
 	Workers    emulating     `cmd:"" help:"Play, in real time, the worker pools, dependencies and membership of a drill, for real daemons."`
 	Load       loading       `cmd:"" help:"Play a load, drawn or captured, against a server's frames or an http URL."`
@@ -23,11 +25,13 @@
 }
 
 type measuring struct {
-	Library      measureLibrary      `cmd:"" help:"The library beside the daemon, baselines, and its own cost."`
-	Dependencies measureDependencies `cmd:"" help:"What budgets of calls gain over flat time-outs and retries."`
-	Peers        measurePeers        `cmd:"" help:"What a newcomer gains, or loses, by its peers' word."`
-	Emulator     measureEmulator     `cmd:"" help:"The emulator beside real daemons, its speed, and policies over drills."`
-	State        measureState        `cmd:"" help:"What a folder of state is worth at a restart, and what it costs."`
+	Library       measureLibrary       `cmd:"" help:"The library beside the daemon, baselines, and its own cost."`
+	Dependencies  measureDependencies  `cmd:"" help:"What budgets of calls gain over flat time-outs and retries."`
+	Peers         measurePeers         `cmd:"" help:"What a newcomer gains, or loses, by its peers' word."`
+	Emulator      measureEmulator      `cmd:"" help:"The emulator beside real daemons, its speed, and policies over drills."`
+	Configuration measureConfiguration `cmd:"" help:"Whether changes of configuration are in force everywhere in time, through losses and cuts."`
+	Scale         measureScale         `cmd:"" help:"Whether a daemon and a hollow fleet of a fifth of the planned size keep to the budgets."`
+	State         measureState         `cmd:"" help:"What a folder of state is worth at a restart, and what it costs."`
 }
 
 func main() {
--- a/cmd/qplab/scale.go
+++ b/cmd/qplab/scale.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"time"
 
 	"quartzpoint/internal/scale"
@@ -69,3 +72,63 @@
 	}
 	return all, origin, nil
 }
+
+// measureScale is the small form of scale, held against the budgets.
+type measureScale struct {
+	Daemon string `default:"bin/quartzpoint" help:"The app server's program."`
+	Seed   int64  `default:"1" help:"Of the loads and of the fleet's choices."`
+}
+
+// Run measures a fifth of the planned size, works the planned one out by the lines where they are straight, and fails
+// where a budget is passed.
+func (cmd *measureScale) Run() error {
+	run := &scaling{Daemon: cmd.Daemon, Seed: cmd.Seed, Small: true, Only: []string{"slopes", "fleets"}}
+	parts, _, err := run.measure()
+	if err != nil {
+		return err
+	}
+	all := scale.Points{}
+	for _, points := range parts {
+		all.Merge(points)
+	}
+	return printFigures("scale", scale.Budgets(all))
+}
+
+// capacity writes what the points give into the capacity page.
+type capacity struct {
+	Points string `default:"results/scale" help:"Folder of the points."`
+	Page   string `default:"docs/CAPACITY.md" help:"The page; what stands between its two markers is replaced."`
+}
+
+// The markers of the part of the page that is worked out.
+const (
+	figuresBegin = "<!-- figures: written by make capacity -->\n"
+	figuresEnd   = "<!-- end of figures -->\n"
+)
+
+// Run writes the page.
+func (cmd *capacity) Run() error {
+	points, origins, err := scale.ReadAll(cmd.Points)
+	if err != nil {
+		return err
+	}
+	rows, err := scale.Capacity(points)
+	if err != nil {
+		return err
+	}
+	raw, err := os.ReadFile(cmd.Page)
+	if err != nil {
+		return err
+	}
+	head, rest, found := strings.Cut(string(raw), figuresBegin)
+	_, tail, ended := strings.Cut(rest, figuresEnd)
+	if !found || !ended {
+		return fmt.Errorf("%s: its markers are missing", cmd.Page)
+	}
+	made := ""
+	for _, part := range slices.Sorted(maps.Keys(origins)) {
+		made += fmt.Sprintf("`%s.csv`: %s. ", part, origins[part])
+	}
+	text := head + figuresBegin + "\n" + scale.RenderCapacity(rows) + "\n" + made + "\n\n" + figuresEnd + tail
+	return os.WriteFile(cmd.Page, []byte(text), 0o644)
+}
--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -16,7 +16,7 @@
 
 const (
 	silence     = 3 * Heartbeat          // after which a control machine is taken for lost
-	openWait    = 2 * time.Second        // for the opening of a session
+	openWait    = time.Second            // for the opening of a session
 	firstPause  = 100 * time.Millisecond // before the next machine is tried, on the mean; doubled up to the longest
 	longest     = 2 * time.Second
 	mostRefused = 4 * time.Second // that a machine may ask a watcher to stay away
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -29,7 +29,7 @@
 }
 
 // most bounds the connections a proxy carries at once; a test that needs more is wrong about its own size.
-const most = 256
+const most = 4096
 
 // Proxy carries connections from its own address to a target, with faults.
 type Proxy struct {
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -225,6 +225,28 @@
 	}
 }
 
+// settleFor is how long no server may have begun a talk for a fleet to count as quiet.
+const settleFor = 500 * time.Millisecond
+
+// Settle waits until no server that does not vote begins talks with its peers any more.
+func (f *Fleet) Settle(ctx context.Context) error {
+	asked, since, began := int64(-1), time.Now(), time.Now()
+	for time.Since(since) < settleFor {
+		u, err := f.use()
+		if err != nil {
+			return err
+		}
+		if u.others.Traffic.Asked != asked {
+			asked, since = u.others.Traffic.Asked, time.Now()
+		}
+		if time.Since(began) > warmWait || ctx.Err() != nil {
+			return fmt.Errorf("hollow: servers still ask after %v", warmWait)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
 // usage are rates between two uses.
 type usage struct {
 	seconds                              float64
--- a/internal/scale/fleets.go
+++ b/internal/scale/fleets.go
@@ -128,6 +128,9 @@
 			if _, err := fleet.held(ctx, healWait, 1); err != nil {
 				return err
 			}
+			if err := fleet.Settle(ctx); err != nil {
+				return err
+			}
 			x := float64(servers)
 			quiet, _, err := during(fleet, f.span(), someVoters, nil)
 			if err != nil {
@@ -178,8 +181,10 @@
 		if err := fleet.Restart(restarted); err != nil {
 			return err
 		}
-		_, err := fleet.Warm(ctx)
-		return err
+		if _, err := fleet.Warm(ctx); err != nil {
+			return err
+		}
+		return fleet.Settle(ctx)
 	})
 	if err != nil {
 		return err
@@ -194,6 +199,9 @@
 // restarts measures a fleet in which servers restart at several rates.
 func (f *Fleets) restarts(ctx context.Context, fleet *Fleet, points Points) error {
 	for _, perMinute := range f.few(0, 60, 120, 240) {
+		if err := fleet.Settle(ctx); err != nil {
+			return err
+		}
 		used, _, err := during(fleet, f.span(), someVoters, func() error {
 			if perMinute == 0 {
 				return nil
@@ -217,6 +225,9 @@
 
 // zone has a zone's servers come back at once.
 func (f *Fleets) zone(ctx context.Context, fleet *Fleet, points Points) error {
+	if err := fleet.Settle(ctx); err != nil {
+		return err
+	}
 	back := min(ZoneServers, fleet.servers/5)
 	before, err := fleet.use()
 	if err != nil {
@@ -229,6 +240,9 @@
 	if err != nil {
 		return err
 	}
+	if err := fleet.Settle(ctx); err != nil {
+		return err
+	}
 	after, err := fleet.use()
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/scale/watchers.go
@@ -0,0 +1,146 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"sync"
+	"time"
+
+	"quartzpoint/configuration"
+	"quartzpoint/internal/configwatch"
+	"quartzpoint/internal/exchange"
+)
+
+// WatcherSpec says which hollow watchers a process holds.
+type WatcherSpec struct {
+	First, Count int
+	Zone         string
+	Machines     []configwatch.Machine
+	Key          string // hexadecimal
+	Seed         int64
+}
+
+// watcherLine is one line that a process of watchers writes: an event, or, with an answer, what it has used so far.
+type watcherLine struct {
+	Event  *watcherEvent     `json:"e,omitempty"`
+	Answer *exchange.Traffic `json:"answer,omitempty"`
+}
+
+// watcherEvent is a version that came into force.
+type watcherEvent struct {
+	Watcher int                  `json:"w"`
+	Version uint64               `json:"v"`
+	Digest  configuration.Digest `json:"d"`
+	At      int64                `json:"t"` // Unix nanoseconds
+	Started bool                 `json:"s,omitempty"`
+}
+
+// watcherCommand is a line to such a process.
+type watcherCommand struct {
+	Restart int // watchers that are stopped and started with nothing before the answer
+}
+
+// discard is a log that nobody reads.
+var discard = slog.New(slog.DiscardHandler)
+
+// hollowWatcher is one server's real watch with nothing behind it.
+type hollowWatcher struct {
+	place  int
+	cancel context.CancelFunc
+	over   chan struct{}
+}
+
+// lineWriter writes lines from several goroutines.
+type lineWriter struct {
+	mu  sync.Mutex
+	out *bufio.Writer
+}
+
+func (l *lineWriter) write(line watcherLine) {
+	raw, err := json.Marshal(line)
+	if err != nil {
+		panic(fmt.Errorf("json: %w", err)) // every line has a form
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = l.out.Write(append(raw, '\n')) // whoever reads is gone with the process
+	_ = l.out.Flush()
+}
+
+// RunWatchers holds hollow watchers until its input ends. The first line of the input is the WatcherSpec.
+func RunWatchers(in io.Reader, out io.Writer) error {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, commandLimit)
+	var spec WatcherSpec
+	if !lines.Scan() {
+		return errors.Join(io.ErrUnexpectedEOF, lines.Err())
+	}
+	if err := json.Unmarshal(lines.Bytes(), &spec); err != nil {
+		return fmt.Errorf("watchers: spec: %w", err)
+	}
+	key, err := hex.DecodeString(spec.Key)
+	if err != nil {
+		return fmt.Errorf("watchers: key: %w", err)
+	}
+	writer := &lineWriter{out: bufio.NewWriter(out)}
+	watchers := make([]*hollowWatcher, spec.Count)
+	for i := range watchers {
+		watchers[i] = &hollowWatcher{place: spec.First + i}
+		watchers[i].start(spec, exchange.Keys{key}, writer)
+	}
+	defer func() {
+		for _, w := range watchers {
+			w.stop()
+		}
+	}()
+	chance := rand.New(rand.NewSource(spec.Seed))
+	for lines.Scan() {
+		var command watcherCommand
+		if err := json.Unmarshal(lines.Bytes(), &command); err != nil {
+			return fmt.Errorf("watchers: command: %w", err)
+		}
+		chosen := chance.Perm(len(watchers))[:min(command.Restart, len(watchers))]
+		for _, i := range chosen {
+			watchers[i].stop()
+		}
+		for _, i := range chosen {
+			watchers[i].start(spec, exchange.Keys{key}, writer)
+		}
+		used := exchange.Total()
+		writer.write(watcherLine{Answer: &used})
+	}
+	return lines.Err()
+}
+
+// start begins a watch with nothing in force.
+func (h *hollowWatcher) start(spec WatcherSpec, keys exchange.Keys, writer *lineWriter) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel, h.over = cancel, make(chan struct{})
+	event := func(e watcherEvent) {
+		e.Watcher, e.At = h.place, time.Now().UnixNano()
+		writer.write(watcherLine{Event: &e})
+	}
+	w := &configwatch.Watcher{
+		Name: fmt.Sprintf("hollow-%d", h.place), Zone: spec.Zone, Machines: spec.Machines, Keys: keys,
+		Document: configuration.NewDocument(), Seed: spec.Seed*1_000_003 + time.Now().UnixNano() + int64(h.place),
+		Log: discard,
+		Apply: func(_ context.Context, delta configuration.Delta, _ *configuration.Document) error {
+			event(watcherEvent{Version: delta.Version, Digest: delta.Digest})
+			return nil
+		},
+	}
+	event(watcherEvent{Started: true})
+	go func() { w.Run(ctx); close(h.over) }()
+}
+
+func (h *hollowWatcher) stop() {
+	h.cancel()
+	<-h.over
+}
