Signals: reasons for refusals, failures, closes and retries, with request ids, at a bounded rate

Change: internal/events logs at most two lines a second of each kind and reason, counts the rest and tells them once a second. Requests refused or failed carry their id, class, age and the decision's reason (choice.Reason); connections closed or asked to go, runs overdue, released, ended late or sent again, calls made again carry theirs. While runs are overdue, or readings stay over the books for a second, one WARN line a second puts the books beside the readings. No decision reads any of it. Tests of choice, server, front, pool and events pass.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -271,14 +271,14 @@
 	if c.stopAt > 0 {
 		t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
 		if t.Arrived > c.noticed+pick(c.terms, "grace", time.Duration(0)) {
-			c.dismiss(t, w)
+			c.dismiss(t, ReasonDraining, w)
 			return
 		}
 	}
 	if t.Type.Repeats == Numbered {
 		// The entry comes before any run, so that no repeat is taken for a new task; without room, no task.
 		if c.used()+c.numberKB+t.HeldKB > c.memory {
-			c.dismiss(t, w)
+			c.dismiss(t, ReasonMemory, w)
 			return
 		}
 		t.kept = t.Arrived + t.Type.Window + sweep
@@ -326,7 +326,7 @@
 		c.enter(t, running)
 		w.SkipCall(t)
 	case t.Type.Repeats != Reissuable:
-		c.giveUp(t, w)
+		c.giveUp(t, ReasonCallUnclear, w)
 	}
 }
 
@@ -384,7 +384,8 @@
 }
 
 // dismiss turns away a task that never ran.
-func (c *Choice) dismiss(t *Task, w Writer) {
+func (c *Choice) dismiss(t *Task, reason Reason, w Writer) {
+	t.reason = reason
 	c.forget(t, w)
 	t.settled = true
 	c.remove(t)
@@ -402,7 +403,8 @@
 
 // giveUp answers a task that ran, or a repeat whose first may have, and then stops it, so that its core is
 // free at once for work that somebody waits for.
-func (c *Choice) giveUp(t *Task, w Writer) {
+func (c *Choice) giveUp(t *Task, reason Reason, w Writer) {
+	t.reason = reason
 	t.settled = true
 	w.GiveUp(t)
 	switch t.phase {
@@ -430,9 +432,9 @@
 	c.all = append(append(c.all[:0], c.hold...), c.active...)
 	for _, t := range c.all {
 		if c.now >= t.wanted && t.phase == held {
-			c.dismiss(t, w)
+			c.dismiss(t, c.expiry(t), w)
 		} else if c.now >= t.wanted && !t.settled {
-			c.giveUp(t, w)
+			c.giveUp(t, c.expiry(t), w)
 		}
 	}
 }
@@ -453,7 +455,7 @@
 	}
 	c.level = levelMost
 	for in, _, _ := c.counts(); len(c.hold) > 0 && in+float64(len(c.hold)) > 1; {
-		c.dismiss(c.hold[len(c.hold)-1], w)
+		c.dismiss(c.hold[len(c.hold)-1], ReasonRunsFail, w)
 	}
 }
 
@@ -512,7 +514,7 @@
 	_, on, parked := c.counts()
 	wide, atCall := max(c.cores, on), c.strainedCall(parked)
 	kept, out := c.kept[:0], c.out[:0]
-	leaveOut := func(excess time.Duration) *Task {
+	leaveOut := func(excess time.Duration, reason Reason) *Task {
 		least := 0
 		for i := range kept {
 			if c.density(kept[i]) <= c.density(kept[least]) {
@@ -520,7 +522,7 @@
 			}
 		}
 		t := kept[least]
-		t.excess = excess
+		t.excess, t.reason = excess, reason
 		kept = slices.Delete(kept, least, least+1)
 		out = append(out, t)
 		ahead -= c.need(t)
@@ -541,7 +543,7 @@
 			latest := t.wanted - waits - run
 			latest = min(latest, t.Arrived+time.Duration(plan*float64(latest-t.Arrived)))
 			t.late = start+run > t.Arrived+t.Type.ContractTime
-			if start <= latest || leaveOut(start-latest) == t {
+			if start <= latest || leaveOut(start-latest, ReasonNoTime) == t {
 				break
 			}
 		}
@@ -552,13 +554,13 @@
 		full -= out[i].HeldKB
 	}
 	for full > 0 && len(kept) > 0 {
-		full -= leaveOut(0).HeldKB
+		full -= leaveOut(0, ReasonMemory).HeldKB
 	}
 	for _, t := range out {
 		if t.Rank >= c.level {
 			c.load.add(c.now, 0, c.need(t).Seconds())
 		}
-		c.dismiss(t, w)
+		c.dismiss(t, t.reason, w)
 	}
 	c.kept, c.out = kept, out
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -618,7 +618,7 @@
 		b := newBench(nil)
 		x := b.task("x", 0)
 		x.wanted, b.level = b.at+c.left, c.level
-		b.dismiss(x, b)
+		b.dismiss(x, ReasonNoTime, b)
 		assert.Equal(t, c.want, b.nowhereElse)
 	}
 }
--- a/choice/task.go
+++ b/choice/task.go
@@ -65,6 +65,7 @@
 	refusals  int           // calls of it that did not go well
 	notBefore time.Duration // when its call may be tried again
 	calledAt  time.Duration // when its call was made
+	reason    Reason        // why it was answered without a result
 }
 
 type phase int
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,70 @@
+package events
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func newLog() (l *Log, text *bytes.Buffer, pass func(time.Duration)) {
+	text = &bytes.Buffer{}
+	now := time.Unix(1000, 0)
+	l = New(slog.New(slog.NewTextHandler(text, nil)))
+	l.now = func() time.Time { return now }
+	return l, text, func(span time.Duration) { now = now.Add(span) }
+}
+
+func TestLinesOfASecondAreBounded(t *testing.T) {
+	l, text, pass := newLog()
+	for i := range 100 {
+		l.Record(Refused, "no time left", slog.String("request", fmt.Sprint("r", i)))
+	}
+	assert.Equal(t, maxLinesPerSecond, strings.Count(text.String(), "msg=\"request refused\""))
+	assert.Contains(t, text.String(), `request=r1 reason="no time left" times=2`)
+
+	pass(time.Second)
+	l.Turn()
+	assert.Contains(t, text.String(), `msg=events "request refused: no time left"=100`)
+	text.Reset()
+	pass(time.Second)
+	l.Turn()
+	assert.Empty(t, text.String(), "told again though nothing happened")
+	l.Record(Refused, "no time left")
+	assert.Contains(t, text.String(), "times=101")
+	assert.EqualValues(t, 101, l.Times(Refused, "no time left"))
+	assert.Zero(t, l.Times(Refused, "no memory left"))
+}
+
+// A wall clock that steps back must not silence the log until it has caught up.
+func TestClockThatStepsBack(t *testing.T) {
+	l, text, pass := newLog()
+	for range 10 {
+		l.Record(Failed, "deadline")
+	}
+	pass(-time.Hour)
+	text.Reset()
+	l.Record(Failed, "deadline")
+	assert.Contains(t, text.String(), "times=11")
+}
+
+func TestLevels(t *testing.T) {
+	l, text, _ := newLog()
+	l.Record(RunOverdue, "not reported to have ended")
+	l.Record(ConnectionClosed, "idle")
+	assert.Contains(t, text.String(), `level=WARN msg="run overdue"`)
+	assert.Contains(t, text.String(), `level=INFO msg="connection closed"`)
+}
+
+func TestPairsAreBounded(t *testing.T) {
+	l, _, _ := newLog()
+	for i := range 10 * maxPairs {
+		l.Record(Refused, fmt.Sprint(i))
+	}
+	assert.LessOrEqual(t, len(l.pairs), maxPairs+1)
+	assert.EqualValues(t, 9*maxPairs, l.Times(Refused, ""))
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"quartzpoint/internal/events"
 	"quartzpoint/internal/frame"
 	"quartzpoint/internal/outbox"
 	"quartzpoint/internal/poller"
@@ -95,7 +98,10 @@
 	clear(c.open)
 }
 
-func (c *conn) close() {
+// close ends the connection at once.
+func (c *conn) close(reason string) {
+	c.front.server.Events().Record(events.ConnectionClosed, reason, slog.String("peer", c.link.RemoteAddr().String()),
+		slog.Int("open", len(c.open)), slog.Int("unread", c.out.Size()), slog.Duration("idle", c.front.server.Now()-c.last))
 	c.die()
 	c.closing.Close(c.link)
 }
@@ -245,7 +251,7 @@
 
 func (c *conn) dismiss(stream uint32, why string) {
 	c.front.counts.Saw("task not understood: " + why)
-	c.front.server.DismissUnseen(c, stream)
+	c.front.server.DismissUnseen(c, stream, "not understood: "+why)
 }
 
 // asked reads a task's fields. Nothing of it points into what was read.
@@ -346,10 +352,12 @@
 }
 
 // retire asks the router to send nothing more here and to close once all is answered.
-func (c *conn) retire() {
+func (c *conn) retire(reason string) {
 	if c.retired || c.broken {
 		return
 	}
+	c.front.server.Events().Record(events.ConnectionAsked, reason, slog.String("peer", c.link.RemoteAddr().String()),
+		slog.Int("open", len(c.open)))
 	c.retired = true
 	c.last = c.front.server.Now()
 	c.put(frame.Begin(nil, frame.Close, 0, 0, nil, 0))
@@ -359,6 +367,8 @@
 // so the connection ends once that is answered.
 func (c *conn) fail(why string) {
 	c.front.counts.Saw("connection closed: " + why)
+	c.front.server.Events().Record(events.ConnectionClosed, "broken: "+why,
+		slog.String("peer", c.link.RemoteAddr().String()), slog.Int("open", len(c.open)))
 	c.broken, c.part, c.begun, c.beyond = true, nil, 0, 0
 	c.last = c.front.server.Now()
 	c.put(frame.Begin(nil, frame.Answer, 0, frame.GivenUp, nil, len(why)), []byte(why))
@@ -367,7 +377,7 @@
 // cutOff ends a connection at once, with all that is open on it: its peer takes what all others need.
 func (c *conn) cutOff(why string) {
 	c.front.counts.Saw("connection closed: " + why)
-	c.close()
+	c.close(why)
 }
 
 // hush ends our side of a broken connection once all is answered and written. It is closed when its router has read
@@ -385,6 +395,15 @@
 	}
 }
 
+// reasonOf is the system's word for a failed write, which is one of few.
+func reasonOf(err error) string {
+	var number syscall.Errno
+	if errors.As(err, &number) {
+		return number.Error()
+	}
+	return "the connection is gone"
+}
+
 // put adds pieces to what waits for the peer. One that has not read for so long that its box is full is cut off:
 // waiting for it would cost all others. Where the share of memory that all boxes have is full, the one goes for which
 // most waits.
@@ -425,7 +444,7 @@
 		c.last = c.front.server.Now()
 	}
 	if err != nil {
-		c.close()
+		c.close("answers can't be written: " + reasonOf(err))
 		return true
 	}
 	return c.out.Empty()
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -52,7 +52,7 @@
 		"making room": func(b *bench, c *conn) {
 			b.most = 0
 			if least := b.leastNeeded(nil, true); least != nil {
-				least.close()
+				least.close("to make room")
 			}
 			b.most = 100
 		},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -136,7 +136,7 @@
 			f.making.Store(false)
 			if least := f.leastNeeded(nil, true); least != nil {
 				f.counts.Saw("connection closed to make room")
-				least.close()
+				least.close("to make room: descriptors ran out")
 			}
 		})
 	}
@@ -178,7 +178,7 @@
 			f.joins.Add(1)
 			if !f.placed(c) {
 				f.counts.Saw("connection refused, table full")
-				c.close()
+				c.close("the table is full")
 			}
 		})
 	})
@@ -190,7 +190,7 @@
 	switch {
 	case c.dead:
 	case f.retired:
-		c.retire()
+		c.retire("draining")
 	case open > f.most:
 		if c.crowds = !f.makeRoom(c); c.crowds {
 			f.counts.Saw("connection beyond the table, all in use")
@@ -208,10 +208,10 @@
 	case least == nil:
 	case !least.spoke:
 		f.counts.Saw("connection closed to make room")
-		least.close()
+		least.close("to make room")
 	default:
 		f.counts.Saw("connection asked to go to make room")
-		least.retire()
+		least.retire("to make room")
 	}
 }
 
@@ -223,7 +223,7 @@
 	}
 	if least := f.leastNeeded(newcomer, true); least != nil {
 		f.counts.Saw("connection closed to make room")
-		least.close()
+		least.close("to make room")
 		open--
 	}
 	return open <= f.most
@@ -335,7 +335,7 @@
 		case c.dead || len(c.open) > 0:
 		case c.broken:
 			if now >= c.last+stays {
-				c.close()
+				c.close("broken, and all on it answered")
 			}
 		case !c.spoke && now >= c.born+silentWait:
 			if c.quiet() {
@@ -348,10 +348,10 @@
 		case !c.out.Empty() && now < c.last+stuckWait: // answers that its router has yet to read
 		case c.retired && c.begun == 0 && now >= c.last+stays:
 			if c.quiet() { // with bytes unread the close would be a reset, and a task among them lost
-				c.close()
+				c.close("asked to go, and did not")
 			}
 		case f.idle > 0 && now >= c.last+f.idle && !c.retired:
-			c.retire()
+			c.retire("idle")
 		}
 	}
 }
@@ -365,7 +365,7 @@
 	f.closing.Store(true)
 	f.shutListener()
 	for _, c := range f.conns {
-		c.retire()
+		c.retire("draining")
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -418,6 +418,7 @@
 func (l *Link) put(text []byte) bool {
 	err := l.out.Add(text)
 	if err != nil {
+		l.saw("pool link closed: it does not read its commands")
 		l.synced = false
 		l.socket.Close()
 	}
@@ -431,7 +432,8 @@
 	if l.out == nil || l.out.Empty() {
 		return
 	}
-	if l.out.FlushTo(l.raw) != nil {
+	if err := l.out.FlushTo(l.raw); err != nil {
+		l.log.Warn("pool link closed", "error", err)
 		l.synced = false
 		l.socket.Close()
 	}
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -20,7 +20,7 @@
 		s.counts.Saw("call of a run nobody asked for")
 		return
 	}
-	t.atCall, t.asks, t.supplied = true, n.Result, nil
+	t.atCall, t.asks, t.supplied, t.calls = true, n.Result, nil, 0
 	t.unsure, t.mark = false, 0 // so it has begun, and read whatever it was told before
 	if !t.answered {
 		s.AtCall(t)
--- /dev/null
+++ b/internal/server/observe.go
@@ -0,0 +1,83 @@
+package server
+
+import (
+	"log/slog"
+	"time"
+
+	"quartzpoint/internal/events"
+)
+
+const (
+	observeEvery    = time.Second // between lines on the books beside the readings, while there is something to tell
+	excessTolerance = 1.0         // runs by which the readings may be over the books for a moment
+)
+
+// observer compares the machine's readings with the books of the decisions, for the log only.
+type observer struct {
+	from   time.Duration // of the span that is compared now
+	excess float64       // the least by which the readings were over the books in it, in runs
+	looks  int
+}
+
+// observe tells, once a second at the most, how the books stand beside the readings: while runs are overdue, and where the
+// readings were over the books in every look of that second.
+func (s *Server) observe(now time.Duration) {
+	s.events.Turn()
+	if s.round.Gauges != nil {
+		// One request a core is read at a time, and takes part of it.
+		excess := s.gauges.Crowd - float64(s.module.Occupancy(now).OnCores) - s.cores()
+		if s.observer.looks == 0 || excess < s.observer.excess {
+			s.observer.excess = excess
+		}
+		s.observer.looks++
+	}
+	if now < s.observer.from+observeEvery {
+		return
+	}
+	overdue := s.overdueRuns()
+	switch {
+	case overdue > 0:
+		s.recordOccupancy(now, "runs are overdue", overdue)
+	case s.observer.looks > 0 && s.observer.excess > excessTolerance:
+		s.recordOccupancy(now, "readings over the books for a second", overdue)
+	}
+	s.observer = observer{from: now}
+}
+
+// overdueRuns is the number of runs that were answered long ago and not reported to have ended.
+func (s *Server) overdueRuns() (overdue int) {
+	for _, t := range s.tasks {
+		if t.active && t.overdue {
+			overdue++
+		}
+	}
+	return overdue
+}
+
+func (s *Server) cores() float64 {
+	cores, _ := s.settings.Values["cores"].(float64)
+	return cores
+}
+
+func (s *Server) recordOccupancy(now time.Duration, reason string, overdue int) {
+	books := s.module.Occupancy(now)
+	memoryKB, _ := s.settings.Values["memory-kb"].(float64)
+	s.events.Record(events.Overcommitted, reason,
+		slog.Int("overdue", overdue), slog.Int("on_cores", books.OnCores), slog.Int("in_flight", books.InFlight),
+		slog.Int("answered", books.Answered), slog.Int("held", books.Held), slog.Float64("limit", books.Limit),
+		slog.Float64("max_crowd", books.MaxCrowd), slog.Float64("used_kb", books.UsedKB), slog.Float64("max_kb", books.MaxKB),
+		slog.Float64("read_crowd", s.gauges.Crowd), slog.Float64("read_cpu", s.gauges.CPU),
+		slog.Float64("read_kb", s.gauges.Memory*memoryKB))
+}
+
+// recordAnswer records that a request was answered without a result, and why.
+func (s *Server) recordAnswer(kind events.Kind, t *Task) {
+	s.events.Record(kind, t.Reason().String(), slog.String("request", t.id), slog.String("class", t.handler),
+		slog.Duration("age", s.round.Now-t.Arrived))
+}
+
+// recordRun records what became of a run.
+func (s *Server) recordRun(kind events.Kind, reason string, t *Task) {
+	s.events.Record(kind, reason, slog.String("request", t.id), slog.String("class", t.handler),
+		slog.Duration("age", s.Now()-t.Arrived), slog.Bool("answered", t.answered), slog.Bool("in_doubt", t.unsure))
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quartzpoint/choice"
+	"quartzpoint/internal/events"
 	"quartzpoint/internal/runs"
 )
 
@@ -57,6 +58,9 @@
 		t.doubt = paused // not its end: it stands still and waits for resume
 		return
 	}
+	if t.overdue {
+		s.recordRun(events.RunEndedLate, n.Outcome, t)
+	}
 	outcome, known := outcomes[n.Outcome]
 	if !known {
 		s.counts.Saw("end of a run with an unknown outcome")
@@ -138,6 +142,7 @@
 			s.end(t, choice.Stopped, 0, nil)
 		case !t.sent, t.unsure && !t.answered && t.supplied == nil && t.Type.Repeats == choice.Reissuable:
 			t.sent, t.unsure = false, false
+			s.recordRun(events.RunRetried, "not known to have begun when the link was lost", t)
 			s.spawn(t)
 		case t.unsure && !t.answered && pauses:
 			s.link.Pause(t.id)
@@ -149,6 +154,7 @@
 			if !t.answered {
 				s.counts.Saw("run not known to have begun, given up on")
 			}
+			s.recordRun(events.RunReleased, "not known to have begun when the link was lost", t)
 			s.link.Pause(t.id)
 			s.end(t, choice.Stopped, 0, nil) // not broken: a lost link says nothing of this server's health
 		}
@@ -192,6 +198,7 @@
 			s.link.GoOn(t.id)
 		default:
 			s.counts.Saw("run not known to have begun, sent again")
+			s.recordRun(events.RunRetried, "not known to have begun when the link was lost", t)
 			t.sent = false
 			s.spawn(t)
 			s.link.GoOn(t.id) // no harm to one that runs; it goes on where an earlier proceed was lost
@@ -222,7 +229,10 @@
 	}
 	slices.SortFunc(lost, func(a, b *Task) int { return cmp.Compare(a.id, b.id) })
 	for _, t := range lost {
+		t.overdue = true
+		s.recordRun(events.RunOverdue, "not reported to have ended by twice its deadline", t)
 		s.counts.Saw("end of a run never told")
+		s.recordRun(events.RunReleased, "its end was not reported by twice its deadline", t)
 		s.end(t, choice.Stopped, 0, nil)
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 
 	"quartzpoint/choice"
 	"quartzpoint/internal/check"
+	"quartzpoint/internal/events"
 	"quartzpoint/internal/runs"
 	"quartzpoint/internal/settings"
 	"quartzpoint/knowledge"
@@ -70,6 +71,7 @@
 	fronts []Front
 	counts *check.Counts
 	log    *slog.Logger
+	events *events.Log
 	began  time.Time
 	epoch  time.Duration // of began, since 1970
 	limits Limits
@@ -106,6 +108,7 @@
 	doubts    []*Task       // paused, to be sent again once the poll behind that is answered
 	settled   uint64        // nonce of that poll
 	looked    time.Duration // for ends that were never told
+	observer  observer
 
 	share  func(view knowledge.View, at time.Duration) // nil where nobody is to know
 	origin knowledge.Frame
@@ -130,7 +133,7 @@
 // found unservable only once it has been read.
 func New(told *settings.Settings, seed int64, limits Limits, counts *check.Counts, log *slog.Logger) (*Server, error) {
 	s := &Server{
-		settings: told, counts: counts, log: log, began: time.Now(), limits: limits,
+		settings: told, counts: counts, log: log, events: events.New(log), began: time.Now(), limits: limits,
 		spent: map[string]time.Duration{}, customers: map[string]int{},
 		numbers: map[string]*number{}, mayKeep: limits.MemoryMB << 20 / numberShare,
 		// What the site's own memory holds of numbers, the decisions bound; that is stated with the settings, as any figure.
@@ -185,6 +188,9 @@
 	return s, nil
 }
 
+// Events is the log of what becomes of requests, runs and connections.
+func (s *Server) Events() *events.Log { return s.events }
+
 // Serve gives the server its link and its fronts, before Run.
 func (s *Server) Serve(link Pool, fronts ...Front) { s.link, s.fronts = link, fronts }
 
@@ -326,6 +332,7 @@
 		s.changeTables()
 		now := s.Now()
 		s.alarm(now)
+		s.observe(now)
 		s.dueChecks(now)
 		s.overdue(now)
 		// A process that stood still across its stop has had no round in which the decisions could answer what is left.
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"log/slog"
 	"time"
 
 	"quartzpoint/choice"
+	"quartzpoint/internal/events"
 )
 
 // Verdict is what an answer says became of a task.
@@ -73,6 +75,8 @@
 	asks     []byte  // what that call is to carry
 	call     uint64  // the call of it that the dependency has, 0 without one
 	supplied *supply // what it last went on with from a call
+	calls    int     // made for the call that its run stands at
+	overdue  bool    // answered long ago, and not reported to have ended
 }
 
 // doubt is how far the sorting out of a run has come of which it is not known whether it began.
@@ -109,38 +113,35 @@
 func (s *Server) Take(a Asked) *Task {
 	kind := s.types[a.Type]
 	due, _ := s.settings.Values["tells-due"].(bool)
+	refused := ""
 	switch {
 	case kind == nil:
-		s.counts.Saw("task of an unknown type")
+		refused = "task of an unknown type"
 	case s.unserved[a.Type]:
-		s.counts.Saw("task of a type that calls, without a dependency")
-		a.Caller.Answer(a.Stream, Answer{Verdict: Dismissed, Level: s.level, ComeBack: s.longest()})
+		s.refuse(a, "task of a type that calls, without a dependency", Answer{Verdict: Dismissed, ComeBack: s.longest()})
+		return nil
+	case s.tasks[a.ID] != nil && (s.tasks[a.ID].active || s.tasks[a.ID].sent):
+		// A dismissal would say that this call never ran, and its caller might have it run elsewhere.
+		s.refuse(a, "task whose call is known already", Answer{Verdict: GivenUp})
 		return nil
 	case s.tasks[a.ID] != nil:
-		s.counts.Saw("task whose call is known already")
-		if s.tasks[a.ID].active || s.tasks[a.ID].sent {
-			// A dismissal would say that this call never ran, and its caller might have it run elsewhere.
-			a.Caller.Answer(a.Stream, Answer{Verdict: GivenUp, Level: s.level})
-			return nil
-		}
+		refused = "task whose call is known already"
 	case s.spent[a.ID] > 0:
 		// Its caller has, or had, an answer to this call; what has run is never rerun, and never dismissed.
-		s.counts.Saw("task whose call may have run before")
-		a.Caller.Answer(a.Stream, Answer{Verdict: GivenUp, Level: s.level})
+		s.refuse(a, "task whose call may have run before", Answer{Verdict: GivenUp})
 		return nil
 	case a.NoRoom:
-		s.counts.Saw("task on a connection beyond the table")
+		refused = "task on a connection beyond the table"
 	case due && a.Waits <= 0:
-		s.counts.Saw("task without a due time")
+		refused = "task without a due time"
 	case len(s.tasks) >= s.most:
-		s.counts.Saw("task beyond the program's own memory")
+		refused = "task beyond the program's own memory"
 	case kind.Repeats == choice.Numbered && a.Number == "":
-		s.counts.Saw("numbered task without a number")
+		refused = "numbered task without a number"
 	case kind.Repeats == choice.Numbered && len(s.numbers) >= s.mostNumbers && s.numbers[numberKey(a.Type, a.Number)] == nil:
-		s.counts.Saw("numbered task beyond the program's own memory")
+		refused = "numbered task beyond the program's own memory"
 	case kind.Repeats == choice.Numbered && s.clashes(a):
-		s.counts.Saw("number of another task")
-		a.Caller.Answer(a.Stream, Answer{Verdict: Clashing, Level: s.level})
+		s.refuse(a, "number of another task", Answer{Verdict: Clashing})
 		return nil
 	default:
 		now := s.Now()
@@ -166,13 +167,26 @@
 		s.touched = true
 		return t
 	}
-	s.DismissUnseen(a.Caller, a.Stream)
+	s.refuse(a, refused, Answer{Verdict: Dismissed})
 	return nil
 }
 
+// refuse answers at once what is not taken in. The module never hears of it, as there is nothing to decide on.
+func (s *Server) refuse(a Asked, why string, answer Answer) {
+	s.counts.Saw(why)
+	kind := events.Refused
+	if answer.Verdict != Dismissed {
+		kind = events.Failed
+	}
+	s.events.Record(kind, why, slog.String("request", a.ID))
+	answer.Level = s.level
+	a.Caller.Answer(a.Stream, answer)
+}
+
 // DismissUnseen dismisses at once what can't be understood. The module never hears of it, as there is nothing to
 // decide on.
-func (s *Server) DismissUnseen(c Caller, stream uint32) {
+func (s *Server) DismissUnseen(c Caller, stream uint32, why string) {
+	s.events.Record(events.Refused, why, slog.Uint64("stream", uint64(stream)))
 	c.Answer(stream, Answer{Verdict: Dismissed, Level: s.level})
 }
 
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"log/slog"
 	"strconv"
 	"time"
 
 	"quartzpoint/choice"
+	"quartzpoint/internal/events"
 	"quartzpoint/internal/runs"
 )
 
@@ -55,6 +57,7 @@
 	case of.answered: // its caller left in the moment it was read; its number is given back all the same
 		s.firstAnswered(of, Answer{Verdict: Dismissed})
 	default:
+		s.recordAnswer(events.Refused, of)
 		s.answer(of, Answer{Verdict: Dismissed, ComeBack: comeBack, NowhereElse: nowhereElse})
 	}
 }
@@ -62,6 +65,7 @@
 // GiveUp answers a task that may have run without a result.
 func (s *Server) GiveUp(t *choice.Task) {
 	if of := s.owner[t]; of != nil {
+		s.recordAnswer(events.Failed, of)
 		s.answer(of, Answer{Verdict: GivenUp})
 		s.abandon(of)
 	}
@@ -107,6 +111,10 @@
 		return
 	}
 	if of != nil && of.atCall {
+		if of.calls > 0 {
+			s.events.Record(events.CallRetried, "the call before did not go well", slog.String("request", of.id), slog.Int("calls", of.calls))
+		}
+		of.calls++
 		s.placeCall(of, patience)
 		return
 	}
