--- /dev/null
+++ b/cmd/quartzpoint/overload_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/emulator"
+	"quartzpoint/internal/rig"
+)
+
+// shortClasses are many, with deadlines that a machine in trouble outlasts many times over.
+func shortClasses() (classes []rig.Type) {
+	const count = 12
+	for i := range count {
+		classes = append(classes, rig.Type{
+			Name: fmt.Sprintf("class-%d", i), Importance: float64(1 + i%4), Share: 1.0 / count, Spread: 0.3, Once: i%3 == 0,
+			Contract: 400 * time.Millisecond, Outer: 400 * time.Millisecond, Work: time.Duration(20+5*i) * time.Millisecond,
+		})
+	}
+	return classes
+}
+
+const (
+	troubleFrom  = 500 * time.Millisecond
+	troubleUntil = 8500 * time.Millisecond
+	overloadSpan = 9500 * time.Millisecond
+)
+
+// Report f19453: runs that outlive twice their deadline were taken for ended though the worker pool had not said so. What
+// they hold of the machine was given to others a second time, and the pool fell over.
+func TestPoolSurvivesRunsThatOutliveTheirRequests(t *testing.T) {
+	troubles := map[string]func(w *rig.Workers, on bool){
+		"slow": func(w *rig.Workers, on bool) {
+			w.Change(func(m *rig.Machine) { m.Speed = map[bool]float64{true: 0.01, false: 1}[on] })
+		},
+		"hung": func(w *rig.Workers, on bool) { w.Hang(on) },
+		"hung, link lost": func(w *rig.Workers, on bool) {
+			w.Hang(on)
+			w.CutLink()
+		},
+	}
+	machines := map[string]rig.Machine{
+		"few cores":     {Cores: 1, Speed: 1, KB: 1e6},
+		"little memory": {Cores: 2, Speed: 1, KB: 8 * emulator.RunKB}, // fewer runs fill it than the cores survive
+	}
+	for _, halt := range []string{emulator.HaltSuspend, emulator.HaltAbort, emulator.HaltNone} {
+		for trouble, set := range troubles {
+			for name, machine := range machines {
+				t.Run(fmt.Sprintf("%s/%s/%s", halt, trouble, name), func(t *testing.T) {
+					t.Parallel()
+					machine.Halt = halt
+					strain, log := playTrouble(t, machine, set)
+					assert.LessOrEqual(t, strain.Crowd, 1.0, "the cores were crowded past what the pool survives at %v\n%s", strain.CrowdAt, log)
+					assert.LessOrEqual(t, strain.Memory, 1.0, "the memory was passed at %v\n%s", strain.MemoryAt, log)
+				})
+			}
+		}
+	}
+}
+
+// playTrouble loads a real server whose pool is in trouble for some seconds, and gives what its pool had to bear.
+func playTrouble(t *testing.T, machine rig.Machine, set func(w *rig.Workers, on bool)) (rig.Strain, string) {
+	classes := shortClasses()
+	daemon, err := rig.StartFor(builds["release"], t.TempDir(), "n1", classes, machine)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = daemon.Stop() })
+	for at, on := range map[time.Duration]bool{troubleFrom: true, troubleUntil: false} {
+		timer := time.AfterFunc(at, func() { set(daemon.Workers, on) })
+		defer timer.Stop()
+	}
+	load := rig.Arrivals(classes, rig.Rate(classes, machine, 0.8), overloadSpan, 1)
+	result, err := rig.Run(daemon.Address, classes, load, 1)
+	require.NoError(t, err)
+	report := result.Check(daemon.Workers)
+	assert.Empty(t, report.Words, "the other rules")
+	assert.NotZero(t, result.Codes[20], "nothing was served")
+	return daemon.Workers.Strain(), daemon.Log()
+}
--- a/emulator/load.go
+++ b/emulator/load.go
@@ -100,8 +100,17 @@
 	// Crowd is the number of runs a core from which on the whole gets slower, by Loss for each further run a core;
 	// without Loss it never does.
 	Crowd, Loss float64
+	// Halt is how a run can be stopped, in the settings' word: HaltSuspend, also where it is empty, HaltAbort or HaltNone.
+	Halt string
 }
 
+// The ways in which runs can be stopped.
+const (
+	HaltSuspend = "suspend" // it stands still and keeps its memory
+	HaltAbort   = "abort"   // its work is lost
+	HaltNone    = "none"    // it can't
+)
+
 // SpeedAt is the speed so long after the start.
 func (m Machine) SpeedAt(since time.Duration) float64 {
 	if m.ColdShare == 0 || m.WarmUp == 0 {
--- /dev/null
+++ b/internal/rig/strain.go
@@ -0,0 +1,103 @@
+package rig
+
+import (
+	"time"
+
+	"quartzpoint/emulator"
+)
+
+// Endurance is what a worker pool survives. Past either limit it falls over: rule 4 of the protocol page.
+type Endurance struct {
+	RunsPerCore float64       // on the cores in the mean of Over, for a warm pool; a cold one survives fewer
+	Over        time.Duration // span of that mean
+}
+
+const (
+	defaultRunsPerCore = 6.0
+	defaultOver        = time.Second
+)
+
+// Strain is the most that a worker pool had to bear, as parts of what it survives: over 1 it has fallen over.
+type Strain struct {
+	Crowd    float64       // runs on the cores, in the mean of the span
+	Memory   float64       // of its runs
+	CrowdAt  time.Duration // when Crowd was reached, since the pool's start
+	MemoryAt time.Duration // when Memory was reached
+}
+
+// strainGauge follows the strain of a pool. Its runs are the same in number between two calls of pass.
+type strainGauge struct {
+	endurance Endurance
+	worst     Strain
+	area      float64      // runs times seconds since the start
+	points    []strainArea // of the span and the last before it
+}
+
+type strainArea struct {
+	at   time.Duration
+	area float64
+}
+
+func newStrainGauge(endurance Endurance) *strainGauge {
+	if endurance.RunsPerCore == 0 {
+		endurance.RunsPerCore = defaultRunsPerCore
+	}
+	if endurance.Over == 0 {
+		endurance.Over = defaultOver
+	}
+	return &strainGauge{endurance: endurance, points: []strainArea{{}}}
+}
+
+// pass takes that so many runs were on the cores from the last call until now, which is since the pool's start.
+func (g *strainGauge) pass(now time.Duration, runs int, m Machine) {
+	last := g.points[len(g.points)-1]
+	if now <= last.at {
+		return
+	}
+	g.area += float64(runs) * (now - last.at).Seconds()
+	g.points = append(g.points, strainArea{now, g.area})
+	from := now - g.endurance.Over
+	for len(g.points) > 2 && g.points[1].at <= from {
+		g.points = g.points[1:]
+	}
+	mean := (g.area - g.areaAt(from)) / g.endurance.Over.Seconds()
+	if crowd := mean / g.survived(now, m); crowd > g.worst.Crowd {
+		g.worst.Crowd, g.worst.CrowdAt = crowd, now
+	}
+}
+
+// areaAt is the area at a moment within the points kept, which lies on the line between two of them.
+func (g *strainGauge) areaAt(at time.Duration) float64 {
+	if at <= 0 {
+		return 0
+	}
+	first, second := g.points[0], g.points[1]
+	if at <= first.at {
+		return first.area
+	}
+	part := float64(at-first.at) / float64(second.at-first.at)
+	return first.area + min(part, 1)*(second.area-first.area)
+}
+
+// survived is the number of runs on the cores that a pool survives now. Its share of its speed counts only as far as it
+// is still cold: a slow machine survives as many.
+func (g *strainGauge) survived(now time.Duration, m Machine) float64 {
+	warm := m
+	warm.Speed = 1
+	return (1 + (g.endurance.RunsPerCore-1)*warm.SpeedAt(now)) * m.Cores
+}
+
+// memory takes the number of runs that hold memory.
+func (g *strainGauge) memory(now time.Duration, runs int, m Machine) {
+	if share := emulator.RunKB * float64(runs) / m.KB; share > g.worst.Memory {
+		g.worst.Memory, g.worst.MemoryAt = share, now
+	}
+}
+
+// Strain is the most that the pool has had to bear up to now.
+func (w *Workers) Strain() Strain {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(time.Now())
+	return w.strain.worst
+}
