--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,6 +166,7 @@
 		w.Health(true, true)
 		w.Wake(sweep)
 	}
+	c.began = max(c.began, r.Booted)
 	if r.StopAt > 0 && c.stopAt == 0 {
 		c.leave(r.StopAt, cmp.Or(r.Noticed, c.now), w)
 	}
@@ -336,7 +337,10 @@
 		c.remove(t)
 		return
 	}
-	c.enter(t, t.phase)
+	if c.enter(t, t.phase); t.phase == calling {
+		// Its call was not reported to have ended, so it is abandoned with the run, and stays in the dependency's hands.
+		c.holdsCall(pick(c.terms, "calls-linger", time.Duration(0)))
+	}
 	if e.Outcome == Done || e.Outcome == Broken {
 		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
 		c.busy[t.Type.learned] = true
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -336,6 +336,17 @@
 	assert.InDelta(t, 0.8*4*4, cold.crowdRoom(), 0.01)
 }
 
+// Workers that come up behind the program are as cold as they are, not as the program is old.
+func TestWorkersThatStartLaterAreColdFromThenOn(t *testing.T) {
+	b := newBench(map[string]any{"cold": true, "cold-share": 0.2, "warm-up": 10 * time.Second})
+	b.pass(8*time.Second, Gauges{})
+	assert.InDelta(t, 0.84, b.speed(), 0.01)
+	b.round(Round{Booted: b.at - time.Second})
+	assert.InDelta(t, 0.28, b.speed(), 0.01)
+	b.round(Round{Booted: b.at - 5*time.Second})
+	assert.InDelta(t, 0.28, b.speed(), 0.01, "an earlier start makes nothing warmer")
+}
+
 func TestLeaving(t *testing.T) {
 	b := newBench(nil)
 	x := b.task("x", 2)
@@ -517,6 +528,20 @@
 	assert.Equal(t, "call y, start large", b.round(Round{Returned: end, Ended: end}))
 }
 
+// The run of a task that is over ends at its call before that is reported to have ended: the dependency has it still.
+func TestACallLeftBehindByItsRunLingers(t *testing.T) {
+	b := newBench(nil)
+	task := b.task("a", 2)
+	b.round(Round{Arrived: []*Task{task}})
+	b.round(Round{AtCall: []*Task{task}})
+	assert.Equal(t, calling, task.phase)
+	b.at += 100 * ms
+	before, saved := b.inHand.sum(b.at)[0], b.callSaved
+	b.round(Round{Ended: []Ending{{Task: task, Outcome: Stopped}}})
+	assert.InDelta(t, 0.3, b.inHand.sum(b.at)[0]-before, 1e-6, "100 ms in hand, and 200 ms that it lingers")
+	assert.InDelta(t, 0.3, saved-b.callSaved, 1e-6)
+}
+
 func TestACallIsSkippedWhenItsTurnComesTooLate(t *testing.T) {
 	for _, c := range []struct {
 		saved float64
--- a/choice/task.go
+++ b/choice/task.go
@@ -112,6 +112,7 @@
 	Now      time.Duration
 	StopAt   time.Duration // set in the round of the notice to leave: when the process is stopped
 	Noticed  time.Duration // with it, when the notice came; 0 for in this round
+	Booted   time.Duration // when the machine's workers started, in the round that hears of it: they are cold from then on
 	Returned []Ending      // calls that ended
 	AtCall   []*Task       // running tasks that need a call to go on
 	Ended    []Ending      // runs that ended
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -64,6 +64,7 @@
 	quitAt  uint64 // nonce of the poll behind the last command of a link about to be replaced, 0 without one
 	quit    chan struct{}
 	read    uint64 // number of the last notice read
+	missing uint64 // number of a notice that did not come and was asked for by a new bind
 	inbox   []runs.Notice
 }
 
@@ -233,8 +234,8 @@
 	l.Flush()
 	in := bufio.NewReaderSize(socket, mostLine)
 	for {
-		// A line that can't be read is passed over. Ending the link for it would have the pool tell it again at
-		// the next bind, and so on for ever; if it was the end of a run, that run leaves by time.
+		// A line that can't be read is passed over. If it was a notice, its number is missing before the next one,
+		// and the pool is asked to tell it again.
 		text, err := in.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
 			l.saw("pool line that is no notice")
@@ -255,38 +256,58 @@
 			continue
 		}
 		ahead, _ := in.Peek(in.Buffered())
-		l.file(ctx, &told, bytes.IndexByte(ahead, '\n') < 0)
+		if err := l.file(ctx, &told, bytes.IndexByte(ahead, '\n') < 0); err != nil {
+			return err
+		}
 		if told.Verb == "bound" {
 			l.Flush()
 		}
 	}
 }
 
+// errMissed ends a link on which a notice did not come, so that the next one is bound to have it told again.
+var errMissed = errors.New("notices missed, to be told again")
+
 // file puts a line's notice into the inbox and wakes the owner behind the last one at hand.
-func (l *Link) file(ctx context.Context, told *line, last bool) {
+func (l *Link) file(ctx context.Context, told *line, last bool) error {
 	l.mu.Lock()
 	for len(l.inbox) >= mostNotices && ctx.Err() == nil {
 		l.wake()
 		l.taken.Wait()
 	}
-	l.sort(told)
+	err := l.sort(told)
 	waiting := len(l.inbox) > 0
 	l.mu.Unlock()
 	if last && waiting {
 		l.wake()
 	}
+	return err
+}
+
+// number takes the number of a notice, and tells whether it is a new one. One that did not come before it is asked for
+// once: a pool that does not keep it any more leaves it out again.
+func (l *Link) number(index uint64) (fresh bool, err error) {
+	next := l.read + 1
+	switch {
+	case index < next:
+		l.saw("pool notice told again")
+		return false, nil
+	case index > next && l.missing != next:
+		l.saw("pool notices missed, asked for again")
+		l.missing = next
+		return false, errMissed
+	case index > next:
+		l.saw("pool notices missed")
+	}
+	l.read = index
+	return true, nil
 }
 
-func (l *Link) sort(told *line) {
+func (l *Link) sort(told *line) error {
 	if told.Index > 0 {
-		if told.Index <= l.read {
-			l.saw("pool notice told again")
-			return
-		}
-		if told.Index > l.read+1 {
-			l.saw("pool notices missed")
+		if fresh, err := l.number(told.Index); !fresh {
+			return err
 		}
-		l.read = told.Index
 	}
 	n := runs.Notice{Task: told.Task, Outcome: told.Outcome}
 	switch told.Verb {
@@ -295,7 +316,7 @@
 		l.known = true
 		l.syncAt = l.poll()
 		l.log.Info("pool link bound", "pool", told.Outcome, "up_ms", told.Spent, "after_notice", l.read)
-		return
+		n.Kind, n.Took = runs.Bound, time.Duration(told.Spent*float64(time.Millisecond))
 	case "finished":
 		n.Kind, n.Took = runs.Finished, time.Duration(told.Spent*float64(time.Millisecond))
 		var err error
@@ -314,7 +335,7 @@
 		nonce, err := strconv.ParseUint(told.Nonce, 10, 64)
 		if err != nil {
 			l.saw("pool line that is no notice")
-			return
+			return nil
 		}
 		n.Kind, n.Nonce, n.Readings = runs.Polled, nonce, told.Readings
 		if told.Verb == "verified" {
@@ -329,9 +350,10 @@
 	case "unknown":
 		n.Kind = runs.Unknown
 	default:
-		return // remarks, and whatever a later pool may say beside these
+		return nil // remarks, and whatever a later pool may say beside these
 	}
 	l.inbox = append(l.inbox, n)
+	return nil
 }
 
 // drop forgets a link that has ended and tells the owner.
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -24,6 +24,7 @@
 	Verified
 	Unknown
 	Blocked // a run stands at a call, whose body is the result
+	Bound   // the pool took the link; Took is for how long it has been up
 )
 
 // Notice is one thing that is told of runs, or of the state of a link.
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -14,6 +14,9 @@
 		return
 	}
 	now := min(came, s.Now())
+	if s.limits.KilledEarly {
+		within = min(within, s.earliestKill())
+	}
 	s.noticed, s.stop = now, now+within-noticeDelay
 	grace, _ := s.settings.Values["grace"].(time.Duration)
 	s.retire = max(now, min(now+grace, s.stop-lastOrders))
@@ -22,6 +25,21 @@
 	s.log.Info("notice to leave", "stop_in", within, "no_more_connections_in", s.retire-now, "tasks", len(s.tasks))
 }
 
+const (
+	maxKillDeadline = 3 * time.Second        // the longest deadline counts for no more
+	killDelay       = 700 * time.Millisecond // behind that
+)
+
+// earliestKill is the earliest time after the notice at which the process may be killed, by the platform's terms: the
+// longest deadline, 3 s at most, and 0.7 s.
+func (s *Server) earliestKill() time.Duration {
+	longest := time.Duration(0)
+	for _, route := range s.types {
+		longest = max(longest, route.OuterLimit)
+	}
+	return min(longest, maxKillDeadline) + killDelay
+}
+
 // leaving goes through the end: no more connections once nothing that comes would be run, then the end
 // itself as soon as all is answered and read by its caller, or at the last moment.
 func (s *Server) leaving(now time.Duration, written bool) (left bool) {
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -34,6 +34,9 @@
 				break
 			}
 		}
+	case runs.Bound:
+		s.round.Booted = s.Now() - n.Took
+		s.touched = true
 	case runs.Down:
 		s.linkDown()
 	case runs.Synced:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,6 +50,7 @@
 	Spins             int  // looks for more before the owner rests; its waking costs more than a few of them
 	Moving            bool // routes and tenants come and go in service
 	RunsStay          bool // a run holds its place until it ends, however long ago it was answered
+	KilledEarly       bool // the process may be killed sooner after the notice than that says: see earliestKill
 }
 
 // Server turns events into rounds. Its methods are for its one owner, the goroutine that is in Run, but for
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -183,6 +183,17 @@
 	}
 }
 
+// FinishUnheard ends a run whose notice is cut short on the link: it is kept, and told again to who binds for it.
+func (p *Pool) FinishUnheard(task, outcome string, result []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	link := p.link
+	p.link = nil
+	p.end(task, outcome, result)
+	p.link = link
+	io.WriteString(link, `{"verb":"finished","index":`+"\n")
+}
+
 // Block has a run stand at a call.
 func (p *Pool) Block(task string, body []byte) {
 	p.mu.Lock()
