Soak of real processes under seeded faults; repeats belong to the window in which they came

qplab soak plays daemons, worker pools (hung, slow, link cut or stalled), SIGSTOP, SIGKILL, SIGTERM with the kill at the earliest that the terms allow, SIGHUP in rows, crowds, bad and slow clients that send until the kill, all drawn from a seed, and a checker holds what was recorded against the four rules. A number is now kept a second longer, and after a standstill until what came meanwhile is read; the repeat's arrival decides. By reading: a repeat turned away for want of room was refused with a promise of no effect, though its first had run; it is failed now.

--- a/cmd/qplab/main.go
+++ b/cmd/qplab/main.go
@@ -18,6 +18,7 @@
 	Hollow     hollow        `cmd:"" hidden:"" help:"Hold a part of a hollow fleet; scale starts it."`
 	Watchers   watchers      `cmd:"" hidden:"" help:"Hold watchers of the configuration service; measure configuration starts it."`
 	Capacity   capacity      `cmd:"" help:"Write what the points of scale give into the capacity page."`
+	Soak       soaking       `cmd:"" help:"Play real processes under faults drawn from seeds, and hold the four rules on them."`
 	Scale      scaling       `cmd:"" help:"Measure what the programs cost up to the planned size, and write points and charts."`
 	Workers    emulating     `cmd:"" help:"Play, in real time, the worker pools, dependencies and membership of a drill, for real daemons."`
 	Load       loading       `cmd:"" help:"Play a load, drawn or captured, against a server's frames or an http URL."`
--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -19,16 +19,16 @@
 	cases := []struct {
 		name   string
 		sent   []sent
-		ran    []began
+		ran    []RunStart
 		broken [5]int
 	}{
-		{"served", []sent{task("a", 1, 20, at(50))}, []began{{"a", at(10)}}, [5]int{}},
+		{"served", []sent{task("a", 1, 20, at(50))}, []RunStart{{"a", at(10)}}, [5]int{}},
 		{"never answered", []sent{task("a", 0, 0)}, nil, [5]int{1: 1}},
 		{"its connection was lost", []sent{gone}, nil, [5]int{}},
 		{"answered twice", []sent{task("a", 0, 20, at(50), at(60))}, nil, [5]int{1: 1}},
 		{"late", []sent{task("a", 0, 51, at(1200))}, nil, [5]int{1: 1}},
-		{"ran and dismissed", []sent{task("a", 0, 50, at(50))}, []began{{"a", at(10)}}, [5]int{2: 1}},
-		{"an effect at two servers", []sent{task("a", 7, 20, at(50)), task("b", 7, 20, at(90))}, []began{{"a", at(10)}, {"b", at(60)}}, [5]int{2: 1}},
+		{"ran and dismissed", []sent{task("a", 0, 50, at(50))}, []RunStart{{"a", at(10)}}, [5]int{2: 1}},
+		{"an effect at two servers", []sent{task("a", 7, 20, at(50)), task("b", 7, 20, at(90))}, []RunStart{{"a", at(10)}, {"b", at(60)}}, [5]int{2: 1}},
 	}
 	for _, c := range cases {
 		r := &Result{sent: c.sent}
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -28,6 +28,7 @@
 	Workers *Workers
 
 	cmd     *exec.Cmd
+	process *os.Process // the same for as long as the daemon is known
 	log     *LogText
 	members net.PacketConn
 	gone    chan error
@@ -114,7 +115,9 @@
 		d.cmd = nil
 		return d, fmt.Errorf("starting %s: %w", program, err)
 	}
-	go func() { d.gone <- d.cmd.Wait() }()
+	d.process = d.cmd.Process
+	wait := d.cmd.Wait
+	go func() { d.gone <- wait() }()
 	for end := time.Now().Add(startWait); ; {
 		if text := d.log.String(); strings.Contains(text, "msg=serving") && strings.Contains(text, "pool link bound") {
 			return d, nil
@@ -156,7 +159,7 @@
 func (d *Daemon) Log() string { return d.log.String() }
 
 // Signal sends the server a signal.
-func (d *Daemon) Signal(s os.Signal) error { return d.cmd.Process.Signal(s) }
+func (d *Daemon) Signal(s os.Signal) error { return d.process.Signal(s) }
 
 // Kill ends the server as a crash does, and what was started with it.
 func (d *Daemon) Kill() error {
@@ -169,6 +172,37 @@
 	return errors.Join(err, d.Stop())
 }
 
+// Crash ends the server alone, by SIGKILL. What was started with it stays until Stop.
+func (d *Daemon) Crash() error {
+	if err := d.cmd.Process.Kill(); err != nil {
+		return fmt.Errorf("crash: %w", err)
+	}
+	<-d.gone
+	d.cmd = nil
+	return nil
+}
+
+// LeaveWithin sends the notice to leave, and SIGKILL where the server has not ended after a span. It gives the exit code,
+// and whether it had to be killed. What was started with it stays until Stop.
+func (d *Daemon) LeaveWithin(span time.Duration) (exit int, killed bool, err error) {
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		return 0, false, fmt.Errorf("notice: %w", err)
+	}
+	ended := d.gone
+	select {
+	case <-ended:
+		exit = d.cmd.ProcessState.ExitCode()
+	case <-time.After(span):
+		killed = true
+		if err := d.cmd.Process.Kill(); err != nil {
+			return 0, true, fmt.Errorf("kill behind the notice: %w", err)
+		}
+		<-ended
+	}
+	d.cmd = nil
+	return exit, killed, nil
+}
+
 // Pause has the server and its pool stand still for a span.
 func (d *Daemon) Pause(span time.Duration) error {
 	speed := 0.0
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -72,7 +72,7 @@
 	for _, w := range pools {
 		w.mu.Lock()
 		for _, s := range w.ran {
-			starts[s.id] = append(starts[s.id], s.at)
+			starts[s.ID] = append(starts[s.ID], s.At)
 		}
 		w.mu.Unlock()
 	}
--- a/internal/rig/strain.go
+++ b/internal/rig/strain.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// Endure sets what the pool survives, before anything runs on it.
+func (w *Workers) Endure(endurance Endurance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.strain = newStrainGauge(endurance)
+}
+
 // Strain is the most that the pool has had to bear up to now.
 func (w *Workers) Strain() Strain {
 	w.mu.Lock()
--- a/internal/rig/workers.go
+++ b/internal/rig/workers.go
@@ -38,7 +38,7 @@
 	busy    float64 // core seconds spent
 	looks   []look
 	started []time.Duration // since the start, of each run
-	ran     []began         // the same by task
+	ran     []RunStart      // the same by task
 	known   map[string]bool
 	twice   int
 	strain  *strainGauge
@@ -53,9 +53,10 @@
 	paused bool
 }
 
-type began struct {
-	id string
-	at time.Time
+// RunStart is the beginning of a run.
+type RunStart struct {
+	ID string // of its request
+	At time.Time
 }
 
 type look struct {
@@ -149,6 +150,13 @@
 	}
 }
 
+// Runs gives the beginnings of all runs, in their order.
+func (w *Workers) Runs() []RunStart {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.ran)
+}
+
 func (w *Workers) speed(now time.Time) float64 {
 	if w.hung {
 		return 0
@@ -284,7 +292,7 @@
 		w.runs[o.Task] = r
 		w.order = append(w.order, r)
 		w.started = append(w.started, now.Sub(w.began))
-		w.ran = append(w.ran, began{o.Task, now})
+		w.ran = append(w.ran, RunStart{o.Task, now})
 		w.strain.memory(now.Sub(w.began), len(w.order), w.machine)
 	case "suspend":
 		w.stop(link, r, o.Task, now)
--- a/internal/server/numbers.go
+++ b/internal/server/numbers.go
@@ -6,8 +6,15 @@
 	"quartzpoint/choice"
 )
 
-// numberShare is the part of the program's memory, as a divisor, that answers kept for repeats may take.
-const numberShare = 16
+const (
+	// numberShare is the part of the program's memory, as a divisor, that answers kept for repeats may take.
+	numberShare = 16
+	// readWithin is the time in which a request is read that waited while the process stood still. For so long a number is
+	// kept behind its window, as a repeat belongs to the window in which it came, whenever it is read.
+	readWithin = time.Second
+	// stallAfter is the time between two turns of the owner past which the process is taken to have stood still.
+	stallAfter = 100 * time.Millisecond
+)
 
 // Ledger keeps the table of numbered tasks where a crash does not reach it. Its methods are called by the owner of
 // decisions and must not wait. What is left of a window is told with each.
@@ -103,6 +110,13 @@
 	return n != nil && n.shape != a.Shape
 }
 
+// expireNumber drops the number of a task that came behind the window of the number's first, as it is a new one.
+func (s *Server) expireNumber(key string, arrived time.Duration) {
+	if n := s.numbers[key]; n != nil && n.settled && arrived > n.until {
+		s.drop(n, Answer{Verdict: GivenUp})
+	}
+}
+
 // numbered finds the first of a repeat.
 func (s *Server) numbered(t *Task, a Asked) {
 	if t.Type.Repeats != choice.Numbered {
@@ -215,10 +229,21 @@
 	s.answerWaiting(n)
 }
 
-// forgetNumbers drops those whose window is over.
+// stalled notes that the owner's turn came late: what was sent meanwhile is still to be read.
+func (s *Server) stalled(now time.Duration) {
+	if s.turned > 0 && now > s.turned+stallAfter {
+		s.unreadUntil = now + readWithin
+	}
+	s.turned = now
+}
+
+// forgetNumbers drops those whose window is over, and for which no repeat can be unread.
 func (s *Server) forgetNumbers(now time.Duration) {
+	if now < s.unreadUntil {
+		return
+	}
 	for _, n := range s.numbers { // each by itself, so the order decides nothing
-		if now >= n.until && len(n.waiting) == 0 {
+		if now >= n.until+readWithin && len(n.waiting) == 0 {
 			s.drop(n, Answer{Verdict: GivenUp})
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -110,9 +110,12 @@
 	doubts    []*Task       // paused, to be sent again once the poll behind that is answered
 	settled   uint64        // nonce of that poll
 	tidied    time.Duration
-	doubtful  int // runs of the pool that may be over, as counted last
-	reviewer  reconcile.Reviewer
-	observer  observer
+	turned    time.Duration // the last turn of the owner
+	// unreadUntil is the moment before which requests may be unread that came while the process stood still.
+	unreadUntil time.Duration
+	doubtful    int // runs of the pool that may be over, as counted last
+	reviewer    reconcile.Reviewer
+	observer    observer
 
 	share  func(view knowledge.View, at time.Duration) // nil where nobody is to know
 	origin knowledge.Frame
@@ -317,6 +320,7 @@
 		// What comes while this is taken in belongs to the same moment, up to a point: a flood must not keep
 		// the round, and with it the answers that are due, from coming at all.
 		began := s.Now()
+		s.stalled(began)
 		for pass, again := 0, true; again && pass < mostPasses; pass++ {
 			s.mu.Lock()
 			batch, s.posted = s.posted, batch[:0]
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -117,6 +117,13 @@
 	kind := s.types[a.Type]
 	due, _ := s.settings.Values["tells-due"].(bool)
 	refused := ""
+	now := s.Now()
+	if a.Arrived == 0 {
+		a.Arrived = s.at(a.Came, now)
+	}
+	if kind != nil && kind.Repeats == choice.Numbered {
+		s.expireNumber(numberKey(a.Type, a.Number), a.Arrived)
+	}
 	switch {
 	case kind == nil:
 		refused = "task of an unknown type"
@@ -147,10 +154,6 @@
 		s.refuse(a, "number of another task", Answer{Verdict: Clashing})
 		return nil
 	default:
-		now := s.Now()
-		if a.Arrived == 0 {
-			a.Arrived = s.at(a.Came, now)
-		}
 		t := &Task{
 			Task: choice.Task{
 				Type: kind, HeldKB: a.HeldKB, Arrived: a.Arrived, Rank: a.Rank, Caller: a.Router,
@@ -170,6 +173,11 @@
 		s.touched = true
 		return t
 	}
+	if kind != nil && kind.Repeats == choice.Numbered && s.numbers[numberKey(a.Type, a.Number)] != nil {
+		// Its first may have run: with a promise of no effect its caller would have it run elsewhere.
+		s.refuse(a, refused, Answer{Verdict: GivenUp})
+		return nil
+	}
 	s.refuse(a, refused, Answer{Verdict: Dismissed})
 	return nil
 }
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,262 @@
+package soak
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"quartzpoint/internal/rig"
+)
+
+const (
+	maxOpen     = 32                    // requests on a connection, by the protocol page
+	redialWait  = 20 * time.Millisecond // after a refused connection
+	keptKeys    = 16                    // that a sender may use again
+	repeatShare = 0.4                   // of keyed requests that repeat a key
+	slowShare   = 0.1                   // of senders that write in pieces
+	heedShare   = 0.5                   // of senders that send nothing more where they were asked not to
+	resetShare  = 0.001                 // of requests behind which a sender resets its connection
+	pieceWait   = 15 * time.Millisecond // at most, between two pieces of a request
+)
+
+// sender sends requests to one server, over one connection at a time, until it is stopped.
+type sender struct {
+	history *History
+	plan    *Plan
+	rng     *rand.Rand
+	slot    *slot
+	number  int
+	heeds   bool
+	slow    bool
+	keys    []string
+	made    int
+	readers sync.WaitGroup
+}
+
+// connection is one of a sender.
+type connection struct {
+	net.Conn
+	life *Life
+
+	mu     sync.Mutex
+	open   map[uint32]*Request
+	stream uint32
+	asked  bool // by the server, to send nothing more
+	over   bool
+	reset  bool // by its sender
+}
+
+func newSender(h *History, s *slot, number int, seed int64) *sender {
+	rng := rand.New(rand.NewSource(seed))
+	return &sender{
+		history: h, plan: &h.Plan, rng: rng, slot: s, number: number, heeds: rng.Float64() < heedShare, slow: rng.Float64() < slowShare,
+	}
+}
+
+// run sends at random until done is closed, and waits for what is owed.
+func (s *sender) run(done <-chan struct{}) {
+	defer s.readers.Wait()
+	mean := float64(s.plan.Senders) / s.plan.Rate()
+	var c *connection
+	defer func() {
+		if c != nil {
+			s.leave(c)
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(s.rng.ExpFloat64() * mean * float64(time.Second))):
+		}
+		if c != nil && !c.usable(s.heeds) {
+			s.leave(c)
+			c = nil
+		}
+		if c == nil {
+			if c = s.dial(); c == nil {
+				time.Sleep(redialWait)
+				continue
+			}
+		}
+		s.send(c)
+	}
+}
+
+// leave lets a connection go once all on it is answered, or the longest deadline is over.
+func (s *sender) leave(c *connection) {
+	s.readers.Add(1)
+	go func() {
+		defer s.readers.Done()
+		for end := time.Now().Add(s.plan.LongestDeadline() + time.Second); time.Now().Before(end) && c.waits(); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Close()
+	}()
+}
+
+func (c *connection) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.over && len(c.open) > 0
+}
+
+// usable is whether another request may be sent.
+func (c *connection) usable(heeds bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.over && !c.reset && len(c.open) < maxOpen && !(heeds && c.asked)
+}
+
+func (s *sender) dial() *connection {
+	address, life := s.slot.current()
+	if life == nil {
+		return nil
+	}
+	made, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil // nothing ran
+	}
+	c := &connection{Conn: made, life: life, open: map[uint32]*Request{}}
+	s.readers.Add(1)
+	go func() {
+		defer s.readers.Done()
+		s.read(c)
+	}()
+	return c
+}
+
+// send writes one request and books it once it was written whole.
+func (s *sender) send(c *connection) {
+	r := s.draw(c.life)
+	class := s.plan.Classes[r.Class]
+	ttl := max(time.Duration((0.4+0.6*s.rng.Float64())*float64(class.Deadline)), 20*time.Millisecond).Truncate(time.Millisecond)
+	work := time.Duration(s.rng.ExpFloat64() * float64(class.Work))
+	sent := time.Now()
+	fields := []string{
+		"op", class.Name, "call", r.ID, "recv", strconv.FormatInt(sent.UnixMilli(), 10), "src", strconv.Itoa(s.number),
+		"ttl", strconv.FormatInt(ttl.Milliseconds(), 10), "heap", strconv.FormatFloat(requestKB, 'f', 1, 64),
+		"crit", strconv.FormatFloat(math.Min(s.rng.Float64(), 0.9999), 'f', 4, 64),
+	}
+	if r.Key != "" {
+		fields = append(fields, "dedupe", r.Key)
+	}
+	c.mu.Lock()
+	c.stream++
+	stream := c.stream
+	c.open[stream] = r
+	c.mu.Unlock()
+	// The body of a key is the same each time, or it would be another request.
+	body := binary.BigEndian.AppendUint64(nil, uint64(max(work.Microseconds(), 1)))
+	if r.Key != "" {
+		body = binary.BigEndian.AppendUint64(nil, uint64(class.Work.Microseconds()))
+	}
+	if err := s.write(c, rig.Frame(10, stream, string(body), fields...)); err != nil {
+		c.mu.Lock()
+		delete(c.open, stream)
+		c.over = true
+		c.mu.Unlock()
+		return // it was not written whole
+	}
+	s.history.change(func() {
+		r.Sent = time.Now() // a request in pieces is whole only now, and due no earlier
+		r.Due = sent.Add(ttl)
+		if r.Due.Before(r.Sent) {
+			r.Due = r.Sent
+		}
+	})
+	s.history.add(r)
+	if s.rng.Float64() < resetShare {
+		s.resetBehind(c)
+	}
+}
+
+// resetBehind ends a connection with a reset: what is open on it is owed nothing any more.
+func (s *sender) resetBehind(c *connection) {
+	c.mu.Lock()
+	c.reset = true
+	c.mu.Unlock()
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// draw makes a request; a keyed one repeats a key now and then, with the class of it.
+func (s *sender) draw(life *Life) *Request {
+	r := &Request{ID: fmt.Sprintf("%016x", s.rng.Uint64()), Class: s.rng.Intn(len(s.plan.Classes)), Life: life}
+	if s.plan.Classes[r.Class].Effect != Keyed {
+		return r
+	}
+	s.made++
+	r.Key = fmt.Sprintf("%d-%d-%d", s.number, r.Class, s.made)
+	if s.rng.Float64() < repeatShare {
+		r.Key = s.repeated(r.Class, r.Key)
+	}
+	if s.keys = append(s.keys, r.Key); len(s.keys) > keptKeys {
+		s.keys = s.keys[1:]
+	}
+	return r
+}
+
+// repeated is a key of the class that was used before, or the new one.
+func (s *sender) repeated(class int, fresh string) string {
+	prefix := fmt.Sprintf("%d-%d-", s.number, class)
+	for _, at := range s.rng.Perm(len(s.keys)) {
+		if key := s.keys[at]; len(key) > len(prefix) && key[:len(prefix)] == prefix {
+			return key
+		}
+	}
+	return fresh
+}
+
+// write writes a frame, in pieces where the sender is a slow one.
+func (s *sender) write(c *connection, frame []byte) error {
+	if !s.slow {
+		_, err := c.Write(frame)
+		return err
+	}
+	for len(frame) > 0 {
+		n := 1 + s.rng.Intn(len(frame))
+		if _, err := c.Write(frame[:n]); err != nil {
+			return err
+		}
+		if frame = frame[n:]; len(frame) > 0 {
+			time.Sleep(time.Duration(s.rng.Int63n(int64(pieceWait))))
+		}
+	}
+	return nil
+}
+
+// read takes answers until the connection ends.
+func (s *sender) read(c *connection) {
+	defer c.Close()
+	for {
+		reply, err := rig.ReadReply(c)
+		now := time.Now()
+		c.mu.Lock()
+		r := c.open[reply.Stream]
+		switch {
+		case err != nil:
+			c.over = true
+			for _, r := range c.open {
+				s.history.change(func() { r.Ended, r.Reset = now, c.reset })
+			}
+			clear(c.open)
+		case reply.Type == 30:
+			c.asked = true
+		case reply.Type == 11 && r != nil:
+			delete(c.open, reply.Stream)
+			s.history.change(func() { r.Answer = append(r.Answer, Answered{now, reply.Code}) })
+		case reply.Type == 11:
+			s.history.change(func() { s.history.stray++ })
+		}
+		c.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"quartzpoint/internal/rig"
+)
+
+// Request is one that was written whole to a connection, and what became of it.
+type Request struct {
+	ID     string
+	Class  int
+	Key    string // of a keyed one
+	Life   *Life
+	Sent   time.Time // its last byte
+	Due    time.Time
+	Answer []Answered
+	Ended  time.Time // of its connection, zero while that lasts
+	Reset  bool      // by the client, which ends what is owed
+}
+
+// Answered is an answer as it was read.
+type Answered struct {
+	At   time.Time
+	Code byte
+}
+
+// The codes of answers.
+const (
+	CodeServed  = 20
+	CodeRefused = 50
+	CodeFailed  = 51
+)
+
+// Life is one process of a server, from its start to its end.
+type Life struct {
+	Server  int
+	Number  int
+	Notice  time.Time // of SIGTERM, zero without
+	Killed  time.Time // by SIGKILL without a notice, zero without
+	Ended   time.Time // of the process, zero while it lasts
+	ByKill  bool      // behind a notice, it had to be killed
+	Exit    int
+	Stopped []Span // by SIGSTOP
+	Strain  rig.Strain
+	Runs    []rig.RunStart
+	Log     string
+}
+
+// Span is a time from one moment to another.
+type Span struct{ From, To time.Time }
+
+// History is all that was recorded of a run. Its methods may be called from any goroutine.
+type History struct {
+	mu       sync.Mutex
+	Plan     Plan
+	Lives    []*Life
+	Requests []*Request
+	Lateness time.Duration // the most by which the recorder itself was late: machine noise
+	stray    int           // answers on streams that were answered, or never asked
+}
+
+// add books a request and gives what is to be filled in under the lock.
+func (h *History) add(r *Request) {
+	h.mu.Lock()
+	h.Requests = append(h.Requests, r)
+	h.mu.Unlock()
+}
+
+// change changes something of the history.
+func (h *History) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// watchLateness follows how late a timer of this process is, until done is closed.
+func (h *History) watchLateness(done <-chan struct{}) {
+	const period = 5 * time.Millisecond
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		late := now.Sub(last) - period
+		last = now
+		h.change(func() { h.Lateness = max(h.Lateness, late) })
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,171 @@
+// Package soak plays real processes of the daemon, with worker pools and clients of its own on loopback, under faults that
+// are drawn from a seed, and holds what was recorded against the four rules.
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"quartzpoint/emulator"
+	"quartzpoint/internal/rig"
+)
+
+// Effect says what a second run of a request does.
+type Effect string
+
+// The effects, by the settings' words.
+const (
+	Safe   Effect = "retryable" // a second run does no harm
+	Keyed  Effect = "dedup"     // repeats carry a key, and must not run twice on a server within the window
+	Unsafe Effect = "fragile"   // must not run twice
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Deadline time.Duration
+	Window   time.Duration // of a keyed one
+	Value    float64
+	Work     time.Duration // mean, on a core of speed 1
+}
+
+// FaultKind is what goes wrong.
+type FaultKind string
+
+// The kinds of faults. All but Kill, Roll and Reload have an end.
+const (
+	Hang       FaultKind = "hang"        // the pool's cores stand still; gauges are told as ever
+	Slow       FaultKind = "slow"        // the pool's cores are Size times as slow
+	CutLink    FaultKind = "cut link"    // the pool's link breaks, again and again
+	StallLink  FaultKind = "stall link"  // commands to the pool stall, and are lost with the link
+	StopServer FaultKind = "stop server" // SIGSTOP of the process, then SIGCONT
+	Kill       FaultKind = "kill"        // SIGKILL of the process and its pool, then a new start
+	Roll       FaultKind = "roll"        // SIGTERM, SIGKILL at the earliest that is allowed, then a new start
+	Reload     FaultKind = "reload"      // SIGHUP in a row
+	Crowd      FaultKind = "crowd"       // connections that say nothing
+	Garbage    FaultKind = "garbage"     // clients that send what can't be read, or half of a request, and leave
+)
+
+// faultKinds are drawn with equal chances.
+var faultKinds = []FaultKind{Hang, Slow, CutLink, StallLink, StopServer, Kill, Roll, Reload, Crowd, Garbage}
+
+// Fault is one thing that goes wrong.
+type Fault struct {
+	Kind   FaultKind
+	Server int
+	At     time.Duration // since the start of the load
+	For    time.Duration
+	Size   float64 // of a slow pool, the factor; of a crowd, the number of connections
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s of server %d at %v for %v, size %.0f", f.Kind, f.Server, f.At, f.For, f.Size)
+}
+
+// Plan is one run, whole: the same seed gives the same plan.
+type Plan struct {
+	Seed      int64
+	Span      time.Duration
+	Servers   int
+	Classes   []Class
+	Machine   rig.Machine
+	Endurance rig.Endurance
+	Grace     time.Duration
+	Sockets   int
+	MemoryMB  int
+	Load      float64 // share of what the machines can do that is asked for
+	Senders   int     // connections that send, at each server
+	Faults    []Fault
+}
+
+const (
+	maxDeadline     = 3 * time.Second        // the longest deadline that counts towards the kill
+	killDelay       = 700 * time.Millisecond // behind that
+	requestKB       = emulator.RunKB / runFactor
+	runFactor       = 8.0
+	minFaults       = 3
+	maxFaults       = 7
+	faultFreeBefore = 300 * time.Millisecond
+)
+
+// Draw draws a run.
+func Draw(seed int64, span time.Duration) Plan {
+	rng := rand.New(rand.NewSource(seed))
+	p := Plan{
+		Seed: seed, Span: span, Servers: 2 + rng.Intn(3), Sockets: 128 << rng.Intn(3), MemoryMB: 48 + 16*rng.Intn(4),
+		Load: 0.4 + 0.9*rng.Float64(), Senders: 2 + rng.Intn(4), Grace: between(rng, 200*time.Millisecond, 2500*time.Millisecond),
+		Endurance: rig.Endurance{RunsPerCore: 4 + 4*rng.Float64(), Over: between(rng, 700*time.Millisecond, 2*time.Second)},
+	}
+	p.Machine = rig.Machine{
+		Cores: float64(1 + rng.Intn(4)), Speed: 0.7 + 0.8*rng.Float64(), Crowd: 2, Loss: 0.1 * rng.Float64(),
+		Halt: []string{emulator.HaltSuspend, emulator.HaltAbort, emulator.HaltNone}[rng.Intn(3)],
+	}
+	if rng.Intn(2) == 0 {
+		p.Machine.ColdShare, p.Machine.WarmUp = 0.2+0.3*rng.Float64(), between(rng, 2*time.Second, 10*time.Second)
+	}
+	p.Machine.KB = emulator.RunKB * p.Machine.Cores * (5 + 12*rng.Float64())
+	for i := range 2 + rng.Intn(5) {
+		p.Classes = append(p.Classes, Class{
+			Name: fmt.Sprintf("class-%d", i), Effect: []Effect{Safe, Keyed, Unsafe}[rng.Intn(3)],
+			Deadline: between(rng, 250*time.Millisecond, 1800*time.Millisecond), Window: between(rng, 500*time.Millisecond, 3*time.Second),
+			Value: float64(1 + rng.Intn(5)), Work: between(rng, 8*time.Millisecond, 60*time.Millisecond),
+		})
+	}
+	for range minFaults + rng.Intn(maxFaults-minFaults+1) {
+		p.Faults = append(p.Faults, p.drawFault(rng))
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return p
+}
+
+func (p *Plan) drawFault(rng *rand.Rand) Fault {
+	f := Fault{
+		Kind: faultKinds[rng.Intn(len(faultKinds))], Server: rng.Intn(p.Servers),
+		At: between(rng, faultFreeBefore, p.Span*3/4), For: between(rng, 100*time.Millisecond, p.Span/2),
+	}
+	switch f.Kind {
+	case Slow:
+		f.Size = 3 + 60*rng.Float64()
+	case StopServer:
+		f.For = between(rng, 30*time.Millisecond, 700*time.Millisecond)
+	case CutLink, StallLink, Reload:
+		f.For = between(rng, 100*time.Millisecond, 1500*time.Millisecond)
+	case Crowd:
+		f.Size = float64(p.Sockets) * (0.3 + 0.9*rng.Float64())
+	}
+	return f
+}
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Float64()*float64(most-least))
+}
+
+// LongestDeadline is that of all classes.
+func (p *Plan) LongestDeadline() (longest time.Duration) {
+	for _, c := range p.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
+// KillAfter is the earliest time behind SIGTERM at which the platform sends SIGKILL.
+func (p *Plan) KillAfter() time.Duration { return min(p.LongestDeadline(), maxDeadline) + killDelay }
+
+// meanWork is that of a request.
+func (p *Plan) meanWork() (mean time.Duration) {
+	for _, c := range p.Classes {
+		mean += c.Work
+	}
+	return mean / time.Duration(len(p.Classes))
+}
+
+// maxRate bounds the requests a second that a server is sent: the runs share one machine with all else.
+const maxRate = 150.0
+
+// Rate is the number of requests that each server is sent a second.
+func (p *Plan) Rate() float64 {
+	return min(maxRate, p.Load*p.Machine.Cores*p.Machine.Speed/p.meanWork().Seconds())
+}
