A leaving server closes each connection between two requests, well before its stop

Each ends between two requests, and its client hears of it at once. Ruled out: requests read and not answered (every log shows 0 tasks at its end).

--- /dev/null
+++ b/cmd/quartzpoint/leaving_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/rig"
+	"quartzpoint/internal/standin"
+)
+
+// Clients that send on open connections until the process is gone, though they were asked not to, kept it to within
+// 15 ms of its stop: on a busy machine it was killed first, with requests unread for longer than a router sends again.
+func TestClientsThatSendUntilTheEnd(t *testing.T) {
+	const (
+		stop     = 1200 * time.Millisecond
+		clients  = 3
+		sendEach = 7 * time.Millisecond
+		resent   = 50 * time.Millisecond // what crosses a close by no more is sent again, by the protocol page
+	)
+	p := prepare(t, builds["release"])
+	raw, err := os.ReadFile(p.path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(p.path, []byte(strings.Replace(string(raw), `"stop_ms":1500`, `"stop_ms":1200`, 1)), 0o600))
+	require.NoError(t, p.cmd.Start())
+	p.endWith(t)
+	p.pool.Echo = true
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+
+	var over sync.WaitGroup
+	crossed := make(chan time.Duration, clients)
+	for client := range uint32(clients) {
+		router := standin.Dial(t, p.address)
+		over.Add(1)
+		go func() {
+			defer over.Done()
+			crossed <- sendOn(router, client<<16, sendEach)
+		}()
+	}
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	begin := time.Now()
+	assert.Zero(t, p.gone())
+	assert.Less(t, time.Since(begin), stop-resent, "it stayed until its stop")
+	over.Wait()
+	for range clients {
+		assert.LessOrEqual(t, <-crossed, resent, "a request was lost with its connection")
+	}
+}
+
+// sendOn sends requests until the connection ends, and gives how long before that the first one without an answer was sent.
+func sendOn(router net.Conn, firstStream uint32, each time.Duration) time.Duration {
+	var mu sync.Mutex
+	open := map[uint32]time.Time{}
+	ended := make(chan time.Time, 1)
+	go func() {
+		for {
+			reply, err := rig.ReadReply(router)
+			mu.Lock()
+			if err != nil {
+				mu.Unlock()
+				ended <- time.Now()
+				return
+			}
+			if reply.Type == 11 {
+				delete(open, reply.Stream)
+			}
+			mu.Unlock()
+		}
+	}()
+	for stream := firstStream + 1; ; stream++ {
+		select {
+		case at := <-ended:
+			longest := time.Duration(0)
+			for _, sent := range open {
+				longest = max(longest, at.Sub(sent))
+			}
+			return longest
+		case <-time.After(each):
+		}
+		mu.Lock()
+		if _, err := router.Write(standin.Task(stream, "browse", "")); err == nil {
+			open[stream] = time.Now()
+		}
+		mu.Unlock()
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -61,6 +61,7 @@
 	born    time.Duration
 	begun   time.Duration // when the frame that has not ended yet began, 0 without one
 	last    time.Duration // when it last carried a whole frame
+	askedAt time.Duration // to send nothing more
 
 	closing poller.Closing
 }
@@ -357,6 +358,7 @@
 		slog.Int("open", len(c.open)))
 	c.retired = true
 	c.last = c.front.server.Now()
+	c.askedAt = c.last
 	c.put(frame.Begin(nil, frame.Close, 0, 0, nil, 0))
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -346,7 +346,7 @@
 				c.fail("frame not ended")
 			}
 		case !c.out.Empty() && now < c.last+stuckWait: // answers that its router has yet to read
-		case c.retired && c.begun == 0 && now >= c.last+stays:
+		case c.retired && c.begun == 0 && now >= f.goesFrom(c)+stays:
 			if c.quiet() { // with bytes unread the close would be a reset, and a task among them lost
 				c.close("asked to go, and did not")
 			}
@@ -356,6 +356,16 @@
 	}
 }
 
+// goesFrom is from when on a connection has its time to go. While the server leaves, that is when it was asked: a router
+// that sends on all the same would keep it open to the end of the process, and lose what it sent last with that. Closed
+// between two requests, it is told at once.
+func (f *Front) goesFrom(c *conn) time.Duration {
+	if f.retired {
+		return c.askedAt
+	}
+	return c.last
+}
+
 // Retire closes the listener and asks all routers to send nothing more on their connections.
 func (f *Front) Retire() {
 	if f.retired {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -83,10 +83,19 @@
 	case r.Ended.IsZero():
 		c.broke(1, "%s was never answered", c.describe(r))
 	default:
-		c.broke(1, "%s was lost with its connection after %v, run %d times", c.describe(r), r.Ended.Sub(r.Sent), len(c.started[r.ID]))
+		c.broke(1, "%s was lost with its connection after %v, run %d times; sent %v behind the notice, process seen to end %v behind that",
+			c.describe(r), r.Ended.Sub(r.Sent), len(c.started[r.ID]), since(r.Life.Notice, r.Sent), since(r.Sent, r.Life.Ended))
 	}
 }
 
+// since is the time from one moment to another, 0 where either never came.
+func since(from, to time.Time) time.Duration {
+	if from.IsZero() || to.IsZero() {
+		return 0
+	}
+	return to.Sub(from)
+}
+
 // crossed is whether a request met the end of its connection, which the recorder may have seen late.
 func (c *checker) crossed(r *Request) bool {
 	return !r.Ended.IsZero() && r.Ended.Sub(r.Sent) <= crossing+c.history.Lateness
