A request has come when it is whole; the soak plays the shared dependency too

Only senders that write in pieces stamp that much earlier than they end. Task.Whole holds when the last byte of such a request was read, and the grace counts by it (choice.go arrived, writer.go Start).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -265,7 +265,7 @@
 	}
 	if c.stopAt > 0 {
 		t.last, t.wanted = min(t.last, c.stopAt), min(t.wanted, c.stopAt)
-		if t.Arrived > c.noticed+pick(c.terms, "grace", time.Duration(0)) {
+		if t.Came() > c.noticed+pick(c.terms, "grace", time.Duration(0)) {
 			c.dismiss(t, ReasonDraining, w)
 			return
 		}
--- a/choice/task.go
+++ b/choice/task.go
@@ -46,6 +46,7 @@
 	HeldKB   float64
 	Hint     time.Duration // expected work on a standard core; 0 where none was given
 	Arrived  time.Duration // when it reached the machine, before it was read
+	Whole    time.Duration // when its last byte came, where it came in pieces; 0 for with Arrived
 	Due      time.Duration // when its caller stops waiting; 0 where that is not told
 	Rank     float64       // its place from 0 to under 1, by which routers heed the level
 	Customer int
@@ -68,6 +69,9 @@
 	reason    Reason        // why it was answered without a result
 }
 
+// Came is when the task had come whole, by which it is within the grace of a notice or past it.
+func (t *Task) Came() time.Duration { return max(t.Arrived, t.Whole) }
+
 type phase int
 
 const (
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -152,7 +152,8 @@
 // come is copied.
 func (c *conn) take(bytes []byte) {
 	now := c.front.server.Now()
-	if len(c.part) > 0 {
+	inPieces := len(c.part) > 0 // the first frame
+	if inPieces {
 		c.part = append(c.part, bytes...)
 		bytes = c.part
 	}
@@ -173,12 +174,13 @@
 		case f.Type == frame.Check:
 			c.check(f)
 		case f.Type == frame.Task:
-			c.task(f)
+			c.task(f, inPieces)
 		case c.front.tells && f.Beyond == 0:
 			c.cancel(f)
 		default:
 			c.fail(frame.ErrType.Error())
 		}
+		inPieces = false
 	}
 	if c.dead || c.broken {
 		return
@@ -216,7 +218,7 @@
 
 // task takes a task. What breaks the framing ends the connection; what is whole but can't be
 // understood is dismissed, as then the router knows that it never ran.
-func (c *conn) task(f frame.Frame) {
+func (c *conn) task(f frame.Frame, inPieces bool) {
 	switch {
 	case f.Stream <= c.highest:
 		c.fail("stream used before")
@@ -241,6 +243,9 @@
 		return
 	}
 	asked.Caller, asked.Stream = c, f.Stream
+	if inPieces { // its last byte may have come long after its stamp
+		asked.Whole = c.last
+	}
 	c.crowds = c.crowds && !c.front.makeRoom(c)
 	asked.NoRoom = c.crowds && c.front.inUse() >= c.front.most
 	if t := c.front.server.Take(asked); t != nil {
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -109,6 +109,7 @@
 	Shape    uint64 // by which a repeat is known to ask for the same
 	Customer int
 	Arrived  time.Duration // by the clock of rounds, in the place of Came
+	Whole    time.Duration // when its last byte was read, where it came in pieces
 }
 
 // Take files a task that a front has read. A task that can't be understood is dismissed at once, and nothing
@@ -157,7 +158,7 @@
 		t := &Task{
 			Task: choice.Task{
 				Type: kind, HeldKB: a.HeldKB, Arrived: a.Arrived, Rank: a.Rank, Caller: a.Router,
-				Customer: a.Customer,
+				Customer: a.Customer, Whole: a.Whole,
 			},
 			id: a.ID, handler: a.Type, body: a.Body, caller: a.Caller, stream: a.Stream, readAt: now,
 		}
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -15,7 +15,7 @@
 	of := s.owner[t]
 	s.counts.That(of != nil && !of.answered, "a settled task was started")
 	grace, _ := s.settings.Values["grace"].(time.Duration)
-	s.counts.That(s.noticed == 0 || t.Arrived <= s.noticed+grace, "a task from past the grace was started")
+	s.counts.That(s.noticed == 0 || t.Came() <= s.noticed+grace, "a task from past the grace was started")
 	if of == nil || of.answered {
 		return
 	}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -35,6 +35,9 @@
 		c.broke(1, "%d answers came to nothing that was open", h.stray)
 	}
 	c.keysRanOnce()
+	if s := h.Calls; s.Crowd > 1 {
+		c.broke(4, "the dependency had %.2f of the calls in hand that it survives, %v after its start", s.Crowd, s.CrowdAt)
+	}
 	for _, life := range h.Lives {
 		c.survived(life)
 	}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -155,6 +155,8 @@
 	body := binary.BigEndian.AppendUint64(nil, uint64(max(work.Microseconds(), 1)))
 	if r.Key != "" {
 		body = binary.BigEndian.AppendUint64(nil, uint64(class.Work.Microseconds()))
+	} else if class.Calls { // the pool ends a run that stands at its call once its request is over
+		body = binary.BigEndian.AppendUint64(append(body, 0), uint64(sent.Add(ttl).UnixMilli()))
 	}
 	if err := s.write(c, rig.Frame(10, stream, string(body), fields...)); err != nil {
 		c.mu.Lock()
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -6,23 +6,30 @@
 )
 
 // configuration is the platform's for one server of a run.
-func (p *Plan) configuration(name, listen, pool, members string) ([]byte, error) {
+func (p *Plan) configuration(name, listen, pool, members, index string) ([]byte, error) {
 	var services []map[string]any
 	calls, skips := make([]bool, len(p.Classes)), make([]float64, len(p.Classes))
-	for _, c := range p.Classes {
+	below := "none"
+	if p.Calls() {
+		below = "shared"
+	}
+	for i, c := range p.Classes {
+		calls[i] = c.Calls
 		services = append(services, map[string]any{
 			"name": c.Name, "goal-time": c.Deadline.Microseconds(), "deadline": c.Deadline.Microseconds(), "gain": c.Value,
 			"idempotency": string(c.Effect), "dedup-window": c.Window.Microseconds(), "late-value": 0.0,
 		})
 	}
 	raw, err := json.Marshal(map[string]any{
-		"name": name, "listen": listen, "pool": pool, "members": members,
+		"name": name, "listen": listen, "pool": pool, "members": members, "index": index,
 		"seed": fmt.Sprintf("%x", p.Seed), "stop_ms": p.KillAfter().Milliseconds(),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": p.MemoryMB, "sockets": p.Sockets},
 		"settings": map[string]any{
 			"extra": map[string]any{
-				"advert": "threshold", "below": "none", "calls-by-class": calls, "class-skip-worth": skips,
-				"cold": p.Machine.ColdShare > 0, "cores": p.Machine.Cores, "halt": p.Machine.Halt, "idle": 15000000,
+				"advert": "threshold", "below": below, "calls-by-class": calls,
+				"calls-out": p.Shared.Survives / float64(p.Servers), "calls-over": p.Shared.Over.Microseconds(), "lingers": p.Shared.Linger.Microseconds(),
+				"class-skip-worth": skips,
+				"cold":             p.Machine.ColdShare > 0, "cores": p.Machine.Cores, "halt": p.Machine.Halt, "idle": 15000000,
 				"gauges":          []string{"core_use", "on_cores", "heap_share", "links"},
 				"passes-deadline": true, "ram-kb": p.Machine.KB, "run-factor": runFactor, "key-kb": 0.1,
 			},
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -58,6 +58,8 @@
 	Lives    []*Life
 	Requests []*Request
 	Lateness time.Duration // the most by which the recorder itself was late: machine noise
+	Calls    rig.Strain    // of the shared dependency
+	CallsIn  int           // calls that it had
 	stray    int           // answers on streams that were answered, or never asked
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,16 @@
 	Window   time.Duration // of a keyed one
 	Value    float64
 	Work     time.Duration // mean, on a core of speed 1
+	Calls    bool          // its runs call the shared dependency half way
+}
+
+// Shared is the dependency that the runs of all servers call.
+type Shared struct {
+	Survives float64 // calls in hand in the mean of Over; each server has an even share of it
+	Over     time.Duration
+	Slots    float64
+	Took     time.Duration // by a call while slots are free
+	Linger   time.Duration // of an abandoned call
 }
 
 // FaultKind is what goes wrong.
@@ -47,11 +57,16 @@
 	Reload     FaultKind = "reload"      // SIGHUP in a row
 	Crowd      FaultKind = "crowd"       // connections that say nothing
 	Garbage    FaultKind = "garbage"     // clients that send what can't be read, or half of a request, and leave
+	SlowCalls  FaultKind = "slow calls"  // the dependency takes Size times as long
+	ShutCalls  FaultKind = "shut calls"  // the dependency reads calls and answers none
 )
 
 // faultKinds are drawn with equal chances.
 var faultKinds = []FaultKind{Hang, Slow, CutLink, StallLink, StopServer, Kill, Roll, Reload, Crowd, Garbage}
 
+// callFaults are drawn beside them where runs call the dependency.
+var callFaults = []FaultKind{SlowCalls, ShutCalls, SlowCalls, ShutCalls}
+
 // Fault is one thing that goes wrong.
 type Fault struct {
 	Kind   FaultKind
@@ -78,9 +93,15 @@
 	MemoryMB  int
 	Load      float64 // share of what the machines can do that is asked for
 	Senders   int     // connections that send, at each server
+	Shared    Shared
 	Faults    []Fault
 }
 
+// Calls tells whether any class calls the dependency.
+func (p *Plan) Calls() bool {
+	return slices.ContainsFunc(p.Classes, func(c Class) bool { return c.Calls })
+}
+
 const (
 	maxDeadline     = 3 * time.Second        // the longest deadline that counts towards the kill
 	killDelay       = 700 * time.Millisecond // behind that
@@ -114,6 +135,7 @@
 			Value: float64(1 + rng.Intn(5)), Work: between(rng, 8*time.Millisecond, 60*time.Millisecond),
 		})
 	}
+	p.drawShared(rng)
 	for range minFaults + rng.Intn(maxFaults-minFaults+1) {
 		p.Faults = append(p.Faults, p.drawFault(rng))
 	}
@@ -121,13 +143,32 @@
 	return p
 }
 
+// drawShared draws the dependency, and in half of the runs the classes that call it.
+func (p *Plan) drawShared(rng *rand.Rand) {
+	share := 0.3 + 5*rng.Float64()
+	p.Shared = Shared{
+		Survives: share * float64(p.Servers), Over: between(rng, time.Second, 4*time.Second), Took: between(rng, 5*time.Millisecond, 60*time.Millisecond),
+		Slots: max(1, share*float64(p.Servers)/(2+3*rng.Float64())), Linger: between(rng, 20*time.Millisecond, 200*time.Millisecond),
+	}
+	if rng.Intn(2) == 0 {
+		return
+	}
+	for i := range p.Classes {
+		p.Classes[i].Calls = rng.Intn(2) == 0 && p.Classes[i].Effect != Keyed // repeats of a key have one body, which holds no due time
+	}
+}
+
 func (p *Plan) drawFault(rng *rand.Rand) Fault {
+	kinds := faultKinds
+	if p.Calls() {
+		kinds = slices.Concat(faultKinds, callFaults)
+	}
 	f := Fault{
-		Kind: faultKinds[rng.Intn(len(faultKinds))], Server: rng.Intn(p.Servers),
+		Kind: kinds[rng.Intn(len(kinds))], Server: rng.Intn(p.Servers),
 		At: between(rng, faultFreeBefore, p.Span*3/4), For: between(rng, 100*time.Millisecond, p.Span/2),
 	}
 	switch f.Kind {
-	case Slow:
+	case Slow, SlowCalls:
 		f.Size = 3 + 60*rng.Float64()
 	case StopServer:
 		f.For = between(rng, 30*time.Millisecond, 700*time.Millisecond)
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -61,12 +61,18 @@
 	history *History
 	plan    *Plan
 	slots   []*slot
+	shared  *rig.Lookups
 }
 
 // Play plays a run and gives what was recorded.
 func Play(ctx context.Context, program, folder string, plan Plan) (*History, error) {
 	h := &History{Plan: plan}
 	p := &player{program: program, folder: folder, history: h, plan: &h.Plan}
+	var err error
+	if p.shared, err = rig.NewLookups(plan.Shared.Slots, plan.Shared.Took, plan.Shared.Linger, plan.Shared.Survives, plan.Shared.Over); err != nil {
+		return h, err
+	}
+	defer p.shared.Close()
 	for number := range plan.Servers {
 		s := &slot{number: number}
 		p.slots = append(p.slots, s)
@@ -100,9 +106,10 @@
 	}
 	sleep(ctx, plan.Span)
 	faults.Wait()
-	err := p.end() // clients send until the end
+	err = p.end() // clients send until the end
 	close(done)
 	senders.Wait()
+	h.Calls, h.CallsIn = p.shared.Strain()
 	return h, errors.Join(append(failed, err)...)
 }
 
@@ -125,11 +132,18 @@
 		if proxy, err = faultnet.New(pool); err != nil {
 			return nil, err
 		}
-		return p.plan.configuration(name, listen, proxy.Addr(), members)
+		return p.plan.configuration(name, listen, proxy.Addr(), members, p.shared.Address)
 	})
 	if err != nil {
 		return err
 	}
+	calling := map[string]bool{}
+	for _, c := range p.plan.Classes {
+		calling[c.Name] = c.Calls
+	}
+	if p.plan.Calls() {
+		daemon.Workers.LetCall(calling)
+	}
 	daemon.Workers.Endure(p.plan.Endurance)
 	life := &Life{Server: s.number, Number: s.lives}
 	p.history.change(func() { p.history.Lives = append(p.history.Lives, life) })
@@ -236,6 +250,14 @@
 			}
 			sleep(ctx, reloadEvery)
 		}
+	case SlowCalls:
+		p.shared.Slow(f.Size)
+		sleep(ctx, f.For)
+		p.shared.Slow(1)
+	case ShutCalls:
+		p.shared.Shut(true)
+		sleep(ctx, f.For)
+		p.shared.Shut(false)
 	case Crowd:
 		crowd(ctx, daemon.Address, int(f.Size))
 	case Garbage:
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -41,9 +41,9 @@
 			killed++
 		}
 	}
-	line := fmt.Sprintf("seed %d: %d servers, %s, %d faults, %d requests, %.2f served, crowd %.2f, memory %.2f, %d left by kill, late %v: ",
+	line := fmt.Sprintf("seed %d: %d servers, %s, %d faults, %d requests, %.2f served, crowd %.2f, memory %.2f, %d calls %.2f, %d left by kill, late %v: ",
 		h.Plan.Seed, h.Plan.Servers, h.Plan.Machine.Halt, len(h.Plan.Faults), t.Requests, float64(t.Served)/max(1, float64(t.Requests)),
-		crowd, memory, killed, h.Lateness)
+		crowd, memory, h.CallsIn, h.Calls.Crowd, killed, h.Lateness)
 	if failed != nil {
 		return line + "failed"
 	}
