--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -21,6 +21,7 @@
 	"quartzpoint/internal/outbox"
 	"quartzpoint/internal/poller"
 	"quartzpoint/internal/server"
+	"quartzpoint/internal/sysfault"
 )
 
 const deaf = "peer does not read"
@@ -126,8 +127,18 @@
 // sent tells whether the system holds bytes of the peer's. That it has ended its side is none.
 func (c *conn) sent() bool {
 	var first [1]byte
-	n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == nil && n > 0
+	for {
+		n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return false
+		case err != nil:
+			return sysfault.Passes(err) // not known: a close over bytes would lose them
+		default:
+			return n > 0
+		}
+	}
 }
 
 // read is netpoll's callback for bytes that came; the poller brings it to the owner. It must take all there
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -16,6 +17,7 @@
 	"quartzpoint/internal/check"
 	"quartzpoint/internal/poller"
 	"quartzpoint/internal/server"
+	"quartzpoint/internal/sysfault"
 )
 
 const (
@@ -412,6 +414,14 @@
 // ready tells whether a descriptor has something to be taken or read.
 func ready(fd int) bool {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-	n, err := unix.Poll(polled, 0)
-	return err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+	for {
+		n, err := unix.Poll(polled, 0)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return sysfault.Passes(err) // not known: what waits would be lost
+		default:
+			return n > 0 && polled[0].Revents&unix.POLLIN != 0
+		}
+	}
 }
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -8,8 +8,13 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"quartzpoint/internal/sysfault"
 )
 
+// writev is the system's; tests have it fail.
+var writev = unix.Writev
+
 // mostParts is how many pieces one write gathers, well under what the system takes.
 const mostParts = 256
 
@@ -55,11 +60,11 @@
 // own Flush would block its caller, the one owner of decisions, until the peer reads again.
 func (b *Box) Flush(fd int) error {
 	for b.size > 0 {
-		n, err := unix.Writev(fd, b.parts[:min(len(b.parts), mostParts)])
+		n, err := writev(fd, b.parts[:min(len(b.parts), mostParts)])
 		switch {
 		case errors.Is(err, unix.EINTR):
 			continue
-		case errors.Is(err, unix.EAGAIN):
+		case sysfault.Passes(err):
 			return nil
 		case err != nil:
 			return fmt.Errorf("write: %w", err)
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -63,3 +63,32 @@
 	require.NoError(t, box.Add([]byte("1")))
 	assert.ErrorIs(t, box.Flush(write), unix.EPIPE)
 }
+
+// A write that failed for a moment closed the connection, and lost all that was open on it.
+func TestFlushAcrossFailuresThatPass(t *testing.T) {
+	whole := writev
+	t.Cleanup(func() { writev = whole })
+	write, read := pair(t)
+	box := New(1 << 20)
+	require.NoError(t, box.Add([]byte("first "), []byte("second")))
+	failures := []error{unix.EINTR, unix.ENOBUFS, unix.ENOMEM, unix.EAGAIN}
+	writev = func(fd int, parts [][]byte) (int, error) {
+		if len(failures) > 0 {
+			failure := failures[0]
+			failures = failures[1:]
+			return -1, failure
+		}
+		return unix.Write(fd, parts[0][:1]) // short each time
+	}
+	for range 3 { // the interrupted one is made again at once
+		require.NoError(t, box.Flush(write))
+		assert.Equal(t, 12, box.Size())
+	}
+	require.NoError(t, box.Flush(write))
+	assert.True(t, box.Empty())
+	assert.Equal(t, "first second", string(drain(t, read)))
+
+	require.NoError(t, box.Add([]byte("lost")))
+	writev = func(int, [][]byte) (int, error) { return -1, unix.ECONNRESET }
+	assert.ErrorIs(t, box.Flush(write), unix.ECONNRESET)
+}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,7 +11,8 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
+
+	"quartzpoint/internal/sysfault"
 )
 
 // shortWait is how long the poller rests where there is no descriptor for a connection that waits in a listener.
@@ -47,14 +47,15 @@
 // system's memory for them, have run out it calls short and gives no connection and no error, as where none waits: the
 // connection stays in the listener, and is asked for again shortly. Netpoll must not hear of it. It takes the listener
 // from its poller for up to a second at a time then, but only the first time that this happens: from the second time on
-// it asks again without rest, and starts a goroutine and writes two lines at each try. short must not wait.
+// it asks again without rest, and starts a goroutine and writes two lines at each try. short must not wait. A failure of
+// one connection is none of the listener, which would end the process.
 func Accept(from netpoll.Listener, short func()) (net.Conn, error) {
 	link, err := from.Accept()
 	switch {
-	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
+	case sysfault.RunsShort(err):
 		short()
 		time.Sleep(shortWait)
-	case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR): // it is gone already, or was not asked for yet
+	case sysfault.AcceptPasses(err): // the connection is gone already, or was not asked for yet; the listener is as it was
 	default:
 		return link, err
 	}
