--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -155,6 +155,9 @@
 	return d.cmd.Process.Pid
 }
 
+// ProcessID is that of the server's process, also once it has ended.
+func (d *Daemon) ProcessID() int { return d.process.Pid }
+
 // Log is what the server has logged so far.
 func (d *Daemon) Log() string { return d.log.String() }
 
--- /dev/null
+++ b/internal/rig/starved.go
@@ -0,0 +1,38 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// waitField is the place of the time spent waiting for a core in /proc/PID/task/TID/schedstat, in nanoseconds.
+const waitField = 1
+
+// Starved is for how long the threads of a process have been ready to run, in sum, and were given no core.
+func Starved(pid int) (time.Duration, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(files) == 0 {
+		return 0, fmt.Errorf("process %d: no schedstat: %w", pid, os.ErrNotExist)
+	}
+	total := time.Duration(0)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		fields := strings.Fields(string(raw))
+		if len(fields) <= waitField {
+			return 0, fmt.Errorf("process %d: schedstat %q", pid, raw)
+		}
+		waited, err := strconv.ParseInt(fields[waitField], 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("process %d: schedstat %q: %w", pid, raw, err)
+		}
+		total += time.Duration(waited)
+	}
+	return total, nil
+}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -60,10 +60,10 @@
 	return fmt.Sprintf("%s (%s, %s) at server %d life %d", r.ID, class.Name, class.Effect, r.Life.Server, r.Life.Number)
 }
 
-// slack is what an answer may be late by: by the protocol page, by the noise of this machine, and by the time that the
-// process was stopped from outside.
+// slack is what an answer may be late by: by the protocol page, by the noise of this machine, which let the recorder or
+// the process wait for a core, and by the time that the process was stopped from outside.
 func (c *checker) slack(r *Request) time.Duration {
-	slack := answerSlack + c.history.Lateness
+	slack := answerSlack + c.history.Lateness + r.Life.starved(r.Sent, r.Due.Add(answerSlack))
 	for _, s := range r.Life.Stopped {
 		if s.To.After(r.Sent) && s.From.Before(r.Due.Add(slack)) {
 			slack += s.To.Sub(s.From)
@@ -101,7 +101,7 @@
 
 // crossed is whether a request met the end of its connection, which the recorder may have seen late.
 func (c *checker) crossed(r *Request) bool {
-	return !r.Ended.IsZero() && r.Ended.Sub(r.Sent) <= crossing+c.history.Lateness
+	return !r.Ended.IsZero() && r.Ended.Sub(r.Sent) <= crossing+c.history.Lateness+r.Life.starved(r.Sent, r.Ended)
 }
 
 // ranOnce is rule 2 for single requests: none begins twice where that does harm, and what has run is not refused.
@@ -153,7 +153,8 @@
 	if r.Life.Notice.IsZero() || len(c.started[r.ID]) == 0 {
 		return
 	}
-	if past := r.Sent.Sub(r.Life.Notice) - c.history.Plan.Grace; past > answerSlack+c.history.Lateness {
+	heard := r.Life.Notice.Add(r.Life.starved(r.Life.Notice, r.Life.Notice.Add(answerSlack)))
+	if past := r.Sent.Sub(heard) - c.history.Plan.Grace; past > answerSlack+c.history.Lateness {
 		c.broke(3, "%s came %v past the grace and ran", c.describe(r), past)
 	}
 }
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -122,6 +122,10 @@
 		"this machine saw the end of a connection late": func(h *History) {
 			h.request("crossing").Ended, h.Lateness = at(4065), 20*time.Millisecond
 		},
+		"the process waited for a core": func(h *History) {
+			h.request("safe").Answer[0].At = at(1080)
+			h.Lives[0].Starved = []Wait{{at(0), 0}, {at(900), time.Second}, {at(1040), 1040 * time.Millisecond}, {at(2000), 1040 * time.Millisecond}}
+		},
 		"a safe request ran twice":  func(h *History) { h.ran("safe", 20) },
 		"a key behind its window":   func(h *History) { h.request("repeat").Sent = at(2100); h.ran("repeat", 2110) },
 		"a refusal behind a window": func(h *History) { h.request("repeat").Sent, h.request("repeat").Answer[0].Code = at(2100), CodeRefused },
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -43,11 +43,36 @@
 	ByKill  bool      // behind a notice, it had to be killed
 	Exit    int
 	Stopped []Span // by SIGSTOP
+	Starved []Wait // for a core of this machine, as seen now and then
 	Strain  rig.Strain
 	Runs    []rig.RunStart
 	Log     string
 }
 
+// Wait is for how long a process had waited for a core in all, at a moment.
+type Wait struct {
+	At    time.Time
+	Total time.Duration
+}
+
+// starved is for how long the process waited for a core from one moment to another, at the most.
+func (l *Life) starved(from, to time.Time) time.Duration {
+	if len(l.Starved) == 0 {
+		return 0
+	}
+	before, after := l.Starved[0].Total, l.Starved[len(l.Starved)-1].Total
+	for _, w := range l.Starved {
+		if !w.At.After(from) {
+			before = w.Total
+		}
+		if w.At.After(to) {
+			after = w.Total
+			break
+		}
+	}
+	return after - before
+}
+
 // Span is a time from one moment to another.
 type Span struct{ From, To time.Time }
 
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -20,6 +20,7 @@
 	reloadEvery  = 30 * time.Millisecond
 	garbageEvery = 10 * time.Millisecond
 	crowdStays   = 2 * time.Second
+	starvedEvery = 40 * time.Millisecond
 )
 
 // slot is the place of one server, whose process may change.
@@ -82,6 +83,7 @@
 	}
 	watched := make(chan struct{})
 	go h.watchLateness(watched)
+	go p.watchStarvation(watched)
 	defer close(watched)
 
 	done := make(chan struct{})
@@ -113,6 +115,30 @@
 	return h, errors.Join(append(failed, err)...)
 }
 
+// watchStarvation books how long each process has waited for a core, until done is closed.
+func (p *player) watchStarvation(done <-chan struct{}) {
+	ticker := time.NewTicker(starvedEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		for _, s := range p.slots {
+			daemon, _, life := s.process()
+			if life == nil {
+				continue
+			}
+			total, err := rig.Starved(daemon.ProcessID())
+			if err != nil {
+				continue // it has ended
+			}
+			p.history.change(func() { life.Starved = append(life.Starved, Wait{time.Now(), total}) })
+		}
+	}
+}
+
 // sleep waits, and tells whether it was not ended before.
 func sleep(ctx context.Context, span time.Duration) bool {
 	select {
