What is open on a half-closed connection is answered

A router may end its side behind its last request and still read. Tests: TestRouterEndsItsSideBehindARequest fails on the old code; TestRouterIsGoneBehindARequest keeps the stop of its run. Front tests pass with the race detector.

--- /dev/null
+++ b/cmd/quartzpoint/halfclose_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/standin"
+)
+
+// A router that ends its side of a connection behind its last request still reads. What it had asked was dropped.
+func TestRouterEndsItsSideBehindARequest(t *testing.T) {
+	for build := range builds {
+		t.Run(build, func(t *testing.T) {
+			p := launch(t, build)
+			p.pool.Ready()
+			p.logged(t, "pool link bound")
+			router := standin.Dial(t, p.address)
+			router.Send(t, standin.Task(1, "browse", "a"), standin.Task(2, "pay", "b"))
+			require.NoError(t, router.Conn.(*net.TCPConn).CloseWrite())
+			for range 2 {
+				spawn := p.pool.Next(t, "spawn")
+				time.Sleep(300 * time.Millisecond) // over some looks at its connection
+				p.pool.Finish(spawn.Task, "success", []byte("done"))
+			}
+			got := map[uint32]byte{}
+			for _, reply := range router.Rest(t) {
+				if reply.Type == 11 {
+					got[reply.Stream] = reply.Code
+				}
+			}
+			assert.Equal(t, map[uint32]byte{1: 20, 2: 20}, got)
+		})
+	}
+}
+
+// A router that is gone ends its side in the same way. Its runs are stopped as before.
+func TestRouterIsGoneBehindARequest(t *testing.T) {
+	p := launch(t, "debug")
+	p.pool.Ready()
+	p.logged(t, "pool link bound")
+	router := standin.Dial(t, p.address)
+	router.Send(t, standin.Task(1, "browse", "a"))
+	task := p.pool.Next(t, "spawn").Task
+	begin := time.Now()
+	router.Close()
+	assert.Equal(t, task, p.pool.Next(t, "suspend").Task)
+	assert.Less(t, time.Since(begin), 5*time.Second, "stopped by its deadline only")
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,8 @@
 	mu   sync.Mutex
 	gone bool // the descriptor may already stand for another file
 	fd   int
+	half bool        // its peer has ended its side, and fd is our own duplicate: netpoll has let go of the connection
+	ours atomic.Bool // the end of the connection was asked for here
 
 	open    map[uint32]*server.Task // nil values never stand in it
 	highest uint32                  // stream so far; they go from 1 up, so no list of those used is needed
@@ -82,14 +85,26 @@
 // before the descriptor is closed and used again for another file.
 func (c *conn) ended(netpoll.Connection) error {
 	c.mu.Lock()
-	c.gone = true
+	c.half = !c.ours.Load() && c.keepWriting()
+	c.gone = !c.half
+	half := c.half
 	c.mu.Unlock()
-	c.front.server.Post(c.leave)
+	if half {
+		c.front.server.Post(c.halfClosed)
+	} else {
+		c.front.server.Post(c.leave)
+	}
 	return nil
 }
 
 // leave tells the server that nobody waits for what is open here.
 func (c *conn) leave() {
+	c.mu.Lock()
+	if c.half && !c.gone {
+		_ = unix.Close(c.fd) // our own duplicate
+	}
+	c.gone = true
+	c.mu.Unlock()
 	c.die()
 	c.front.left(c)
 	for _, stream := range slices.Sorted(maps.Keys(c.open)) {
@@ -102,7 +117,12 @@
 func (c *conn) close(reason string) {
 	c.front.server.Events().Record(events.ConnectionClosed, reason, slog.String("peer", c.link.RemoteAddr().String()),
 		slog.Int("open", len(c.open)), slog.Int("unread", c.out.Size()), slog.Duration("idle", c.front.server.Now()-c.last))
+	if c.isHalf() {
+		c.leave()
+		return
+	}
 	c.die()
+	c.ours.Store(true)
 	c.closing.Close(c.link)
 }
 
@@ -121,7 +141,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// In this order: bytes leave the system for netpoll, never back.
-	return c.gone || !c.sent() && c.link.Reader().Len() == 0
+	return c.gone || c.half || !c.sent() && c.link.Reader().Len() == 0
 }
 
 // sent tells whether the system holds bytes of the peer's. That it has ended its side is none.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -258,7 +258,7 @@
 	now := f.server.Now()
 	for _, c := range f.conns {
 		switch {
-		case c == newcomer || c.dead || len(c.open) > 0 || !c.out.Empty() || c.retired && !full:
+		case c == newcomer || c.dead || c.isHalf() || len(c.open) > 0 || !c.out.Empty() || c.retired && !full:
 		case !c.spoke && now < c.born+newWait:
 		case c.begun > 0 && now < c.begun+newWait: // the rest of a task may be on its way
 		case least == nil, least.spoke && !c.spoke, least.spoke == c.spoke && c.last < least.last:
@@ -334,6 +334,8 @@
 	for i := len(f.conns) - 1; i >= 0; i-- {
 		c := f.conns[i]
 		switch {
+		case !c.dead && c.isHalf():
+			c.sweepHalf(now)
 		case c.dead || len(c.open) > 0:
 		case c.broken:
 			if now >= c.last+stays {
