--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -217,8 +217,9 @@
 			least = l
 		}
 	}
+	use := least != nil && (len(least.open) < fewOpen || alive >= mostLinks)
 	r.mu.Unlock()
-	if least != nil && (len(least.open) < fewOpen || alive >= mostLinks) {
+	if use {
 		return least, nil
 	}
 	made, err := net.Dial("tcp", r.address)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -255,7 +255,7 @@
 			} else {
 				// The pool reads the command and tells nothing more on this link.
 				b.pool.Silence(true)
-				b.pool.Loses = c.loses
+				b.pool.SetLoses(c.loses)
 				b.ask(1, c.kind, time.Minute)
 				b.pool.Next(t, "spawn")
 			}
@@ -298,7 +298,7 @@
 			b.ask(1, "pay", time.Minute)
 			b.pool.Next(t, "spawn")
 			b.pool.Cut()
-			b.pool.Loses = false
+			b.pool.SetLoses(false)
 			b.pool.Next(t, "bind")
 			b.pool.Silence(false)
 			assert.Equal(t, standin.Call(1), b.pool.Next(t, "suspend").Task)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -239,6 +239,13 @@
 	p.meager = on
 }
 
+// SetLoses has the pool lose the spawns that it reads, or take them.
+func (p *Pool) SetLoses(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Loses = on
+}
+
 // Cut ends the link. Runs go on.
 func (p *Pool) Cut() {
 	p.mu.Lock()
