Soak checker: the end of a thread takes nothing off the slack of an answer

Cause: Starved sums the waiting of the threads that live, so a thread that ends makes the total fall, and the checker took the fall off the slack (internal/soak/history.go). It is no time at all now. TestAThreadThatEndsTakesNothingOffTheSlack fails on the code before (an answer 10 ms early is taken for late, slack -150 ms).

--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// A thread of the process ended between two looks: its waiting is missing in the later total, and nothing follows.
+func TestAThreadThatEndsTakesNothingOffTheSlack(t *testing.T) {
+	h := kept()
+	h.Lives[0].Starved = []Wait{{at(0), time.Second}, {at(900), time.Second}, {at(1100), 800 * time.Millisecond}, {at(9000), 800 * time.Millisecond}}
+	h.request("safe").Answer[0].At = at(990) // in time
+	assert.Empty(t, Check(h))
+	h.request("safe").Answer[0].At = at(1060)
+	assert.Len(t, Check(h), 1)
+}
+
 func TestTheSameSeedGivesTheSamePlan(t *testing.T) {
 	for seed := range int64(50) {
 		plan := Draw(seed, 8*time.Second)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -55,7 +55,8 @@
 	Total time.Duration
 }
 
-// starved is for how long the process waited for a core from one moment to another, at the most.
+// starved is for how long the process waited for a core from one moment to another. A thread that ends takes its waiting
+// along, so a total may fall; that is no time at all.
 func (l *Life) starved(from, to time.Time) time.Duration {
 	if len(l.Starved) == 0 {
 		return 0
@@ -70,7 +71,7 @@
 			break
 		}
 	}
-	return after - before
+	return max(after-before, 0)
 }
 
 // Span is a time from one moment to another.
