Pool tests wait for the next link's sync, not for that of the link before

Cause: the test waited for a Synced that the first new link had left unread, then wrote to that link, which had ended: line 139 waited for a notice that was never read.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -130,6 +130,7 @@
 		assert.Equal(t, want, string(b.next(t, runs.Finished).Result))
 	}
 	assert.Equal(t, 1, b.counts.Times("pool notices missed, asked for again"))
+	b.next(t, runs.Synced) // of this link, so that the one waited for below is the next link's
 
 	// One that the pool does not keep any more is asked for once.
 	b.pool.Say(`{"verb":"finished","index":7,"task":"c","outcome":"success","spent":1,"bytes":""}` + "\n")
@@ -157,6 +158,7 @@
 	n := b.next(t, runs.Finished)
 	assert.Equal(t, "second", string(n.Result), "the end that came without a link is told once it is back")
 	b.pool.Say(`{"verb":"finished","index":2,"task":"b","outcome":"success","spent":1,"bytes":""}` + "\n")
+	b.next(t, runs.Synced) // of this link, so that the one waited for below is the next link's
 	const beyond = `{"verb":"finished","index":5,"task":"c","outcome":"failure","spent":1}` + "\n"
 	b.pool.Say(beyond)
 	assert.Equal(t, 2, b.pool.Next(t, "bind").Index, "what is missing is asked for")
