Read-back: one peek at a socket for both uses; the event log is turned once a second

sent and keepWriting each peeked at a socket, and only the first took an interrupted call for what it is; peek serves both. The turn of the event log was in every turn of the owner and is needed once a second. No behaviour is changed beside that.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -146,17 +146,23 @@
 
 // sent tells whether the system holds bytes of the peer's. That it has ended its side is none.
 func (c *conn) sent() bool {
+	n, err := peek(c.fd)
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		return false
+	case err != nil:
+		return sysfault.Passes(err) // not known: a close over bytes would lose them
+	}
+	return n > 0
+}
+
+// peek looks for a byte that the system holds, and leaves it there. Nothing and no error is the end of the peer's side.
+func peek(fd int) (n int, err error) {
 	var first [1]byte
 	for {
-		n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, unix.EINTR):
-		case errors.Is(err, unix.EAGAIN):
-			return false
-		case err != nil:
-			return sysfault.Passes(err) // not known: a close over bytes would lose them
-		default:
-			return n > 0
+		n, _, err = unix.Recvfrom(fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if !errors.Is(err, unix.EINTR) {
+			return n, err
 		}
 	}
 }
--- a/internal/front/halfclose.go
+++ b/internal/front/halfclose.go
@@ -15,8 +15,7 @@
 // keepWriting duplicates the descriptor of a connection whose peer ended its side in order, and tells whether it
 // could. It is for netpoll's callback, before the descriptor is closed, and holds the connection's lock.
 func (c *conn) keepWriting() bool {
-	var first [1]byte
-	n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := peek(c.fd)
 	if err != nil || n > 0 {
 		return false // reset, or not ended by its peer
 	}
--- a/internal/server/observe.go
+++ b/internal/server/observe.go
@@ -20,10 +20,8 @@
 }
 
 // observe tells, once a second at the most, how the books stand beside the readings: while runs may be over that were not
-// reported to have ended, and where the
-// readings were over the books in every look of that second.
+// reported to have ended, and where the readings were over the books in every look of that second.
 func (s *Server) observe(now time.Duration) {
-	s.events.Turn()
 	if s.round.Gauges != nil {
 		// One request a core is read at a time, and takes part of it.
 		excess := s.gauges.Crowd - float64(s.module.Occupancy(now).OnCores) - s.cores()
@@ -35,6 +33,7 @@
 	if now < s.observer.from+observeEvery {
 		return
 	}
+	s.events.Turn()
 	switch {
 	case s.doubtful > 0:
 		s.recordOccupancy(now, "runs may be over that were not reported to have ended")
