--- a/choice/choice.go
+++ b/choice/choice.go
@@ -341,15 +341,10 @@
 		t.Type.runs.add(c.now, 0, 1, e.Took.Seconds())
 		c.busy[t.Type.learned] = true
 		c.ends.add(c.now, 1, float64(e.Outcome-Done))
-		t.Type.usual.take(t.onCore.Seconds(), 200)
-		t.Type.latency.take(e.Took.Seconds(), 200)
-		t.Type.coreSeen.take(t.onCore.Seconds()*c.speed(), c.now)
-		t.Type.runSeen.take(e.Took.Seconds(), c.now)
 		if t.Hint > 0 {
 			c.paced.add(c.now, 0, t.Hint.Seconds())
-			c.pace.take(t.onCore.Seconds()/t.Hint.Seconds(), 200)
-			c.paceSeen.take(t.onCore.Seconds()*c.speed()/t.Hint.Seconds(), c.now)
 		}
+		c.learn(t, e.Took)
 	}
 	if e.Outcome == Void { // what never began took no time: no sign of what others need
 		t.Type.runs.add(c.now, -t.onCore.Seconds())
@@ -358,6 +353,23 @@
 	c.remove(t)
 }
 
+// learn takes the run of a task that ended into the long averages. One that outlived its deadline tells of trouble, which
+// the sums of the last seconds show. A long average over the deadline would outlast the trouble for good: no task of
+// the type would be begun any more, and so none could show that they are short again.
+func (c *Choice) learn(t *Task, took time.Duration) {
+	if t.settled && max(took, t.onCore) > t.Type.OuterLimit {
+		return
+	}
+	t.Type.usual.take(t.onCore.Seconds(), 200)
+	t.Type.latency.take(took.Seconds(), 200)
+	t.Type.coreSeen.take(t.onCore.Seconds()*c.speed(), c.now)
+	t.Type.runSeen.take(took.Seconds(), c.now)
+	if t.Hint > 0 {
+		c.pace.take(t.onCore.Seconds()/t.Hint.Seconds(), 200)
+		c.paceSeen.take(t.onCore.Seconds()*c.speed()/t.Hint.Seconds(), c.now)
+	}
+}
+
 // gone frees what was kept for a task that nobody waits for. A numbered one that runs goes on: its client
 // may come again with the number, and is then answered from this run.
 func (c *Choice) gone(t *Task, w Writer) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -27,9 +27,9 @@
 const (
 	Refused          Kind = "request refused"   // with a promise of no effect
 	Failed           Kind = "request failed"    // answered without a result after it may have run
-	RunOverdue       Kind = "run overdue"       // answered long ago, and not reported to have ended
+	RunOverdue       Kind = "run overdue"       // not reported to have ended, or to have begun, in its time
 	RunEndedLate     Kind = "run ended late"    // the end of one that was overdue
-	RunReleased      Kind = "run released"      // its place was given up without a report of its end
+	RunReleased      Kind = "run released"      // taken off the books without a report of its end
 	RunRetried       Kind = "run retried"       // sent to the worker pool again
 	CallRetried      Kind = "call retried"      // made to the dependency again
 	ConnectionClosed Kind = "connection closed" // by this side, or told to be before its end
--- a/internal/server/observe.go
+++ b/internal/server/observe.go
@@ -19,7 +19,8 @@
 	looks  int
 }
 
-// observe tells, once a second at the most, how the books stand beside the readings: while runs are overdue, and where the
+// observe tells, once a second at the most, how the books stand beside the readings: while runs may be over that were not
+// reported to have ended, and where the
 // readings were over the books in every look of that second.
 func (s *Server) observe(now time.Duration) {
 	s.events.Turn()
@@ -34,36 +35,25 @@
 	if now < s.observer.from+observeEvery {
 		return
 	}
-	overdue := s.overdueRuns()
 	switch {
-	case overdue > 0:
-		s.recordOccupancy(now, "runs are overdue", overdue)
+	case s.doubtful > 0:
+		s.recordOccupancy(now, "runs may be over that were not reported to have ended")
 	case s.observer.looks > 0 && s.observer.excess > excessTolerance:
-		s.recordOccupancy(now, "readings over the books for a second", overdue)
+		s.recordOccupancy(now, "readings over the books for a second")
 	}
 	s.observer = observer{from: now}
 }
 
-// overdueRuns is the number of runs that were answered long ago and not reported to have ended.
-func (s *Server) overdueRuns() (overdue int) {
-	for _, t := range s.tasks {
-		if t.active && t.overdue {
-			overdue++
-		}
-	}
-	return overdue
-}
-
 func (s *Server) cores() float64 {
 	cores, _ := s.settings.Values["cores"].(float64)
 	return cores
 }
 
-func (s *Server) recordOccupancy(now time.Duration, reason string, overdue int) {
+func (s *Server) recordOccupancy(now time.Duration, reason string) {
 	books := s.module.Occupancy(now)
 	memoryKB, _ := s.settings.Values["memory-kb"].(float64)
 	s.events.Record(events.Overcommitted, reason,
-		slog.Int("overdue", overdue), slog.Int("on_cores", books.OnCores), slog.Int("in_flight", books.InFlight),
+		slog.Int("doubtful", s.doubtful), slog.Int("on_cores", books.OnCores), slog.Int("in_flight", books.InFlight),
 		slog.Int("answered", books.Answered), slog.Int("held", books.Held), slog.Float64("limit", books.Limit),
 		slog.Float64("max_crowd", books.MaxCrowd), slog.Float64("used_kb", books.UsedKB), slog.Float64("max_kb", books.MaxKB),
 		slog.Float64("read_crowd", s.gauges.Crowd), slog.Float64("read_cpu", s.gauges.CPU),
@@ -79,5 +69,5 @@
 // recordRun records what became of a run.
 func (s *Server) recordRun(kind events.Kind, reason string, t *Task) {
 	s.events.Record(kind, reason, slog.String("request", t.id), slog.String("class", t.handler),
-		slog.Duration("age", s.Now()-t.Arrived), slog.Bool("answered", t.answered), slog.Bool("in_doubt", t.unsure))
+		slog.Duration("age", s.Now()-t.Arrived), slog.Bool("answered", t.answered), slog.Bool("known_to_have_begun", !t.unsure))
 }
--- /dev/null
+++ b/internal/server/reconcile_test.go
@@ -0,0 +1,105 @@
+package server
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"quartzpoint/internal/events"
+	"quartzpoint/internal/standin"
+)
+
+// shortSite has deadlines of 300 ms, and as many cores as the stand-in's pool.
+var shortSite = strings.NewReplacer(`"deadline":9000000,"goal-time":8000000`, `"deadline":300000,"goal-time":300000`).Replace(standin.Site)
+
+const siteCores = 4
+
+// fill has as many runs on the cores as may be, and waits until their requests are answered without them.
+func (b *bench) fill(t *testing.T) {
+	for stream := range uint32(siteCores) {
+		b.ask(stream, []string{"browse", "pay"}[stream%2], time.Minute)
+		b.pool.Next(t, "spawn")
+	}
+	for range siteCores {
+		assert.Equal(t, GivenUp, b.next(t).Verdict)
+	}
+}
+
+// spawned counts the runs that the pool was told to begin while the server was asked for more for a span.
+func (b *bench) spawned(t *testing.T, span time.Duration) (spawned int) {
+	for begin, stream := time.Now(), uint32(100); time.Since(begin) < span; stream++ {
+		b.ask(stream, "browse", time.Minute)
+		b.next(t)
+		for len(b.pool.Commands) > 0 {
+			if c := <-b.pool.Commands; c.Verb == "spawn" {
+				spawned++
+			}
+		}
+	}
+	return spawned
+}
+
+// Report f19453: behind twice their deadline, runs were taken for ended though the machine was only hung, and others
+// were begun in their place.
+func TestRunsKeepTheirPlaceWhileTheMachineHoldsThem(t *testing.T) {
+	for _, halt := range []string{"suspend", "abort", "none"} {
+		t.Run(halt, func(t *testing.T) {
+			t.Parallel()
+			b := newBenchAt(t, strings.Replace(shortSite, `"halt":"suspend"`, `"halt":"`+halt+`"`, 1))
+			b.pool.Hangs = true
+			b.pool.Ready()
+			b.bound(t)
+			b.fill(t)
+			assert.Zero(t, b.spawned(t, 2500*time.Millisecond))
+			assert.EqualValues(t, siteCores, b.Events().Times(events.RunOverdue, "its end was not reported by a deadline after its answer"))
+			b.inTurn(func() { assert.Equal(t, siteCores, b.doubtful) })
+
+			b.pool.SetEcho() // the machine goes on: all that it holds ends
+			require.Eventually(t, func() bool {
+				b.ask(1000, "browse", time.Minute)
+				return b.next(t).Verdict == Honoured
+			}, standin.Patience, time.Millisecond)
+			assert.Zero(t, b.counts.Times("end of a run nobody asked for"))
+			assert.Zero(t, b.counts.Times("end of a run not reported, proven by the readings"))
+		})
+	}
+}
+
+// Readings that are not whole prove nothing: what an older answer said is no reading of now.
+func TestNothingIsProvenByHalfOfTheReadings(t *testing.T) {
+	b := newBenchAt(t, shortSite)
+	b.pool.Loses = true
+	b.pool.SetMeager(true)
+	b.pool.Ready()
+	b.bound(t)
+	b.fill(t)
+	const proven = "end of a run not reported, proven by the readings"
+	b.spawned(t, 2500*time.Millisecond)
+	b.inTurn(func() { assert.GreaterOrEqual(t, b.doubtful, siteCores) })
+	assert.Zero(t, b.counts.Times(proven))
+	b.pool.SetMeager(false)
+	require.Eventually(t, func() bool { return b.counts.Times(proven) >= siteCores }, standin.Patience, time.Millisecond)
+}
+
+// The link is lost behind commands that the pool may not have read. A run that was answered meanwhile, and holds its
+// place on a hung machine, was taken for ended as soon as the link was there again.
+func TestRunsInDoubtKeepTheirPlace(t *testing.T) {
+	for _, halt := range []string{"suspend", "abort", "none"} {
+		t.Run(halt, func(t *testing.T) {
+			t.Parallel()
+			b := newBenchAt(t, strings.Replace(shortSite, `"halt":"suspend"`, `"halt":"`+halt+`"`, 1))
+			b.pool.Hangs = true
+			b.pool.Ready()
+			b.bound(t)
+			b.pool.Silence(true)
+			b.fill(t)
+			b.pool.Cut()
+			b.pool.Silence(false)
+			b.bound(t)
+			assert.Zero(t, b.spawned(t, 1500*time.Millisecond))
+		})
+	}
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -18,6 +18,7 @@
 		s.polled = n.Nonce
 		s.resume(n.Nonce)
 		s.settings.Gauges(&s.gauges, n.Readings)
+		s.reviewRuns(n)
 		s.fresh = s.fresh || s.asked > 0 && n.Nonce >= s.asked
 	case runs.Finished:
 		s.finished(n)
@@ -58,7 +59,7 @@
 		t.doubt = paused // not its end: it stands still and waits for resume
 		return
 	}
-	if t.overdue {
+	if t.doubtful {
 		s.recordRun(events.RunEndedLate, n.Outcome, t)
 	}
 	outcome, known := outcomes[n.Outcome]
@@ -121,7 +122,8 @@
 // is still open runs, or never came to the pool. What was never sent is sent now. What may have been sent is
 // sent again where a second run does no harm; the pool takes no notice of it while the first runs. The run of a
 // task that must not run twice might end just while it is sent again. So it is paused first, where the site
-// pauses runs, and sent again in resume; elsewhere it is given up on.
+// pauses runs, and sent again in resume. Elsewhere it stays as it is, and so does a run whose request is answered: it
+// holds its place until its end is reported, or the machine's readings prove that it does not run.
 func (s *Server) linkSynced() {
 	var open []*Task
 	for _, t := range s.tasks {
@@ -150,13 +152,8 @@
 				t.doubt = asked
 			}
 			s.doubts = append(s.doubts, t)
-		case t.unsure:
-			if !t.answered {
-				s.counts.Saw("run not known to have begun, given up on")
-			}
-			s.recordRun(events.RunReleased, "not known to have begun when the link was lost", t)
-			s.link.Pause(t.id)
-			s.end(t, choice.Stopped, 0, nil) // not broken: a lost link says nothing of this server's health
+		case t.unsure && !t.doubtful:
+			s.doubt(t, "not known to have begun when the link was lost")
 		}
 	}
 	if len(s.doubts) > 0 {
@@ -209,34 +206,6 @@
 	s.doubts = s.doubts[:0]
 }
 
-// overdue ends runs that were answered long ago and whose end was never told, as its notice was lost or could
-// not be read. Without it they would stay in the tables, and under the limit, for as long as the process runs.
-func (s *Server) overdue(now time.Duration) {
-	if now < s.looked+time.Second {
-		return
-	}
-	s.looked = now
-	s.forgetNumbers(now)
-	s.forgetSpent(now)
-	if s.limits.RunsStay {
-		return
-	}
-	var lost []*Task
-	for _, t := range s.tasks {
-		if t.active && t.answered && now > t.Arrived+2*t.Type.OuterLimit {
-			lost = append(lost, t)
-		}
-	}
-	slices.SortFunc(lost, func(a, b *Task) int { return cmp.Compare(a.id, b.id) })
-	for _, t := range lost {
-		t.overdue = true
-		s.recordRun(events.RunOverdue, "not reported to have ended by twice its deadline", t)
-		s.counts.Saw("end of a run never told")
-		s.recordRun(events.RunReleased, "its end was not reported by twice its deadline", t)
-		s.end(t, choice.Stopped, 0, nil)
-	}
-}
-
 // spawn has the pool run a task, or notes that it could not be told.
 func (s *Server) spawn(t *Task) {
 	s.counts.That(!t.sent, "a run was sent twice")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -19,6 +19,7 @@
 	"quartzpoint/internal/runs"
 	"quartzpoint/internal/settings"
 	"quartzpoint/knowledge"
+	"quartzpoint/reconcile"
 )
 
 const (
@@ -107,7 +108,9 @@
 	polled    uint64        // nonce of the last poll answered
 	doubts    []*Task       // paused, to be sent again once the poll behind that is answered
 	settled   uint64        // nonce of that poll
-	looked    time.Duration // for ends that were never told
+	tidied    time.Duration
+	doubtful  int // runs of the pool that may be over, as counted last
+	reviewer  reconcile.Reviewer
 	observer  observer
 
 	share  func(view knowledge.View, at time.Duration) // nil where nobody is to know
@@ -334,7 +337,7 @@
 		s.alarm(now)
 		s.observe(now)
 		s.dueChecks(now)
-		s.overdue(now)
+		s.tidy(now)
 		// A process that stood still across its stop has had no round in which the decisions could answer what is left.
 		decides := s.touched || s.noticed > 0 && now >= s.stop
 		if decides {
--- a/internal/server/tasks.go
+++ b/internal/server/tasks.go
@@ -76,7 +76,10 @@
 	call     uint64  // the call of it that the dependency has, 0 without one
 	supplied *supply // what it last went on with from a call
 	calls    int     // made for the call that its run stands at
-	overdue  bool    // answered long ago, and not reported to have ended
+	doubtful bool    // its run may be over, or never have begun; that is not known
+
+	readAt     time.Duration
+	answeredAt time.Duration
 }
 
 // doubt is how far the sorting out of a run has come of which it is not known whether it began.
@@ -153,7 +156,7 @@
 				Type: kind, HeldKB: a.HeldKB, Arrived: a.Arrived, Rank: a.Rank, Caller: a.Router,
 				Customer: a.Customer,
 			},
-			id: a.ID, handler: a.Type, body: a.Body, caller: a.Caller, stream: a.Stream,
+			id: a.ID, handler: a.Type, body: a.Body, caller: a.Caller, stream: a.Stream, readAt: now,
 		}
 		if a.Waits > 0 {
 			// Past its outer limit a task earns nothing, whatever a caller says it waits: held for a day, it would
@@ -195,7 +198,7 @@
 	if t.answered {
 		return
 	}
-	t.answered = true
+	t.answered, t.answeredAt = true, s.Now()
 	s.round.Gone = append(s.round.Gone, &t.Task)
 	s.touched = true
 	s.abandon(t)
@@ -268,7 +271,7 @@
 	if t.answered {
 		return
 	}
-	t.answered = true
+	t.answered, t.answeredAt = true, s.Now()
 	a.Level = s.level
 	s.firstAnswered(t, a)
 	t.caller.Answer(t.stream, a)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -250,6 +250,16 @@
 	}
 }
 
+// Occupied are the readings of what is taken of the machine: all that wants a core, and the share of memory in use.
+// complete is false where the settings do not name both, or too few readings came.
+func (t *Settings) Occupied(readings []float64) (onCores, memory float64, complete bool) {
+	cores, heap := slices.Index(t.gauges, "on_cores"), slices.Index(t.gauges, "heap_share")
+	if cores < 0 || heap < 0 || max(cores, heap) >= len(readings) {
+		return 0, 0, false
+	}
+	return readings[cores], readings[heap], true
+}
+
 // put files a value under our name for it.
 func (r *reader) put(w word, ours, name, value string) {
 	var plain float64 // the value as a number
--- /dev/null
+++ b/reconcile/reconcile.go
@@ -0,0 +1,74 @@
+// Package reconcile decides which runs that were not reported to have ended are over all the same, by what the machine
+// reads of itself.
+//
+// A run keeps its place on the books until its end is known, as what it holds of the machine would otherwise be given away
+// twice. Time proves nothing: a slow or hung machine holds its runs for as long as it likes. Two facts prove an end: a
+// report of it, and readings that leave no room for the run. The readings bound what runs from above: what wants a core is
+// at least the runs on cores, and the memory in use at least that of all runs. So where the books have more on the cores
+// and more in memory than the machine reads, that much of the books is over.
+//
+// It decides only: no I/O and no clock.
+package reconcile
+
+const (
+	// proofsNeeded is the number of readings in a row that must leave no room for a run. One would do if all were exact;
+	// they are rounded, and told by another program.
+	proofsNeeded = 3
+	// leastGap is the part of a run's memory by which the books must be over the reading, which is rounded.
+	leastGap = 0.5
+)
+
+// Run is one on the books at the moment of a reading: begun before, and not reported to have ended by then.
+type Run struct {
+	ID       string
+	MemoryKB float64 // that it holds unless it is over
+	OnCores  bool    // it wants a core unless it is over, or waits for a disk
+	Doubtful bool    // its end is overdue or its beginning not known, so it may be over
+}
+
+// Readings are those of the machine.
+type Readings struct {
+	OnCores  float64 // all that wants a core: runs and other work
+	MemoryKB float64 // in use by all requests
+	HeldKB   float64 // of that, what requests that do not run take at the least
+}
+
+// Reviewer remembers which runs the latest readings left no room for. The zero value is ready for use.
+type Reviewer struct {
+	proofs map[string]int // by run, how many readings in a row
+}
+
+// Review takes a reading with the books of its moment, the oldest run first, and gives the runs that are proven to be
+// over. They are to be taken off the books.
+func (r *Reviewer) Review(readings Readings, books []Run) (over []string) {
+	cores, memory := gaps(readings, books)
+	proofs := map[string]int{}
+	for _, run := range books {
+		if !run.Doubtful || run.OnCores && cores < 1 || memory < leastGap*run.MemoryKB {
+			continue
+		}
+		if run.OnCores {
+			cores--
+		}
+		memory -= run.MemoryKB
+		if seen := r.proofs[run.ID] + 1; seen < proofsNeeded {
+			proofs[run.ID] = seen
+		} else {
+			over = append(over, run.ID)
+		}
+	}
+	r.proofs = proofs
+	return over
+}
+
+// gaps are by how much the books are over the readings, in runs on the cores and in memory.
+func gaps(readings Readings, books []Run) (cores, memoryKB float64) {
+	cores, memoryKB = -readings.OnCores, -max(readings.MemoryKB-readings.HeldKB, 0)
+	for _, run := range books {
+		if run.OnCores {
+			cores++
+		}
+		memoryKB += run.MemoryKB
+	}
+	return cores, memoryKB
+}
