--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -32,8 +32,6 @@
 	mostHeap   = 2000.0 // KB booked for a task
 	mostNumber = 256    // bytes of the number of a task
 	mostWaits  = 24 * time.Hour
-	mostAge    = 10 * time.Minute // of a task when read; more is a clock that is wrong
-	mostAhead  = time.Minute      // by which a task may come from the future
 )
 
 // connKey finds a connection in its context.
@@ -268,8 +266,7 @@
 		return a, errors.New("body")
 	}
 	came, err := strconv.ParseInt(text("recv"), 10, 64)
-	age := time.Since(time.UnixMilli(came))
-	if err != nil || age > mostAge || age < -mostAhead {
+	if err != nil || !c.front.server.PlausibleStamp(came) {
 		return a, errors.New("recv")
 	}
 	if left := text("ttl"); left != "" {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,7 @@
 	"quartzpoint/internal/settings"
 	"quartzpoint/knowledge"
 	"quartzpoint/reconcile"
+	"quartzpoint/stamp"
 )
 
 const (
@@ -38,6 +39,7 @@
 	shareEvery  = time.Second            // between the views that are left for others
 	enterEach   = 20 * time.Millisecond  // between looks whether the ledger has what waits for it
 	unbounded   = 1e9                    // calls at once
+	maxStampMS  = 1 << 43                // of a stamp in Unix milliseconds, some centuries: as a span it has to fit its type
 )
 
 // Limits are those of the program itself, and of what its fronts can carry.
@@ -70,14 +72,16 @@
 
 	tables tableQueue
 
-	fronts []Front
-	counts *check.Counts
-	log    *slog.Logger
-	events *events.Log
-	began  time.Time
-	epoch  time.Duration // of began, since 1970
-	limits Limits
-	most   int // tasks
+	fronts    []Front
+	counts    *check.Counts
+	log       *slog.Logger
+	events    *events.Log
+	began     time.Time
+	epoch     time.Duration        // of began, since 1970
+	wallAhead func() time.Duration // by how much the system's Unix clock, which may step, is ahead of the clock of rounds
+	stamps    stamp.Mapper
+	limits    Limits
+	most      int // tasks
 
 	mu     sync.Mutex
 	posted []func()
@@ -166,6 +170,11 @@
 		}
 	}
 	s.epoch = time.Duration(s.began.UnixNano())
+	s.wallAhead = func() time.Duration {
+		now := time.Now() // one reading of both clocks
+		return time.Duration(now.UnixNano()) - s.epoch - now.Sub(s.began)
+	}
+	s.stamps.Observe(s.wallAhead())
 	if len(s.types) == 0 {
 		return nil, fmt.Errorf("the settings name no traffic type")
 	}
@@ -288,8 +297,13 @@
 // at maps a moment of the system's Unix clock, which may step, to the clock of rounds. What is stated as
 // later than now is taken as now.
 func (s *Server) at(unixMS int64, now time.Duration) time.Duration {
-	ago := time.Since(time.UnixMilli(unixMS))
-	return now - max(ago, 0)
+	return s.stamps.Arrival(time.Duration(unixMS)*time.Millisecond, now)
+}
+
+// PlausibleStamp tells whether a request's stamp, in Unix milliseconds, is one that a clock may have written which was
+// stepped.
+func (s *Server) PlausibleStamp(unixMS int64) bool {
+	return unixMS >= 0 && unixMS < maxStampMS && stamp.Plausible(time.Duration(unixMS)*time.Millisecond, s.Now()+s.wallAhead())
 }
 
 // Nudge has the owner look for what came in.
@@ -321,6 +335,7 @@
 		// the round, and with it the answers that are due, from coming at all.
 		began := s.Now()
 		s.stalled(began)
+		s.stamps.Observe(s.wallAhead())
 		for pass, again := 0, true; again && pass < mostPasses; pass++ {
 			s.mu.Lock()
 			batch, s.posted = s.posted, batch[:0]
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -200,9 +200,28 @@
 // What came late, or from a clock that is ahead, is answered like any other.
 func TestArrivalFollowsTheSystemClock(t *testing.T) {
 	b := newBench(t)
-	now := b.Now()
-	assert.InDelta(t, float64(now-time.Minute), float64(b.at(time.Now().Add(-time.Minute).UnixMilli(), now)), 2e9)
-	assert.Equal(t, now, b.at(time.Now().Add(time.Minute).UnixMilli(), now))
+	b.inTurn(func() {
+		now := b.Now()
+		assert.InDelta(t, float64(now-time.Minute), float64(b.at(time.Now().Add(-time.Minute).UnixMilli(), now)), 2e9)
+		assert.Equal(t, now, b.at(time.Now().Add(time.Minute).UnixMilli(), now))
+	})
+}
+
+// A step of the clock made requests hopeless, or refused them as not understood, and shortened windows.
+func TestArrivalAcrossAStepOfTheClock(t *testing.T) {
+	for _, step := range []time.Duration{2 * time.Second, -2 * time.Second, time.Hour, -time.Hour} {
+		b := newBench(t)
+		b.inTurn(func() { b.wallAhead = func() time.Duration { return step } })
+		b.inTurn(func() {}) // a turn in which it is seen
+		b.inTurn(func() {
+			for name, stamped := range map[string]time.Duration{"before it": 0, "behind it": step} {
+				now := b.Now()
+				came := time.Now().Add(stamped - 50*time.Millisecond).UnixMilli()
+				assert.True(t, b.PlausibleStamp(came))
+				assert.InDelta(t, float64(now-50*time.Millisecond), float64(b.at(came, now)), 1e7, "%v, stamped %s", step, name)
+			}
+		})
+	}
 }
 
 // What the pool may or may not have read when its link broke is sent again only where that can't run twice.
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -79,7 +79,7 @@
 			c.broke(1, "%s was answered %v late (slack %v)", c.describe(r), late, c.slack(r))
 		}
 	case r.Reset, !r.Life.Killed.IsZero():
-	case r.crossed() && len(c.started[r.ID]) == 0:
+	case c.crossed(r) && len(c.started[r.ID]) == 0:
 	case r.Ended.IsZero():
 		c.broke(1, "%s was never answered", c.describe(r))
 	default:
@@ -87,8 +87,10 @@
 	}
 }
 
-// crossed is whether a request met the end of its connection.
-func (r *Request) crossed() bool { return !r.Ended.IsZero() && r.Ended.Sub(r.Sent) <= crossing }
+// crossed is whether a request met the end of its connection, which the recorder may have seen late.
+func (c *checker) crossed(r *Request) bool {
+	return !r.Ended.IsZero() && r.Ended.Sub(r.Sent) <= crossing+c.history.Lateness
+}
 
 // ranOnce is rule 2 for single requests: none begins twice where that does harm, and what has run is not refused.
 func (c *checker) ranOnce(r *Request) {
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -117,7 +117,10 @@
 			h.request("safe").Answer[0].At = at(1300)
 			h.Lives[0].Stopped = []Span{{at(900), at(1200)}}
 		},
-		"this machine was late":     func(h *History) { h.request("safe").Answer[0].At, h.Lateness = at(1060), 20*time.Millisecond },
+		"this machine was late": func(h *History) { h.request("safe").Answer[0].At, h.Lateness = at(1060), 20*time.Millisecond },
+		"this machine saw the end of a connection late": func(h *History) {
+			h.request("crossing").Ended, h.Lateness = at(4065), 20*time.Millisecond
+		},
 		"a safe request ran twice":  func(h *History) { h.ran("safe", 20) },
 		"a key behind its window":   func(h *History) { h.request("repeat").Sent = at(2100); h.ran("repeat", 2110) },
 		"a refusal behind a window": func(h *History) { h.request("repeat").Sent, h.request("repeat").Answer[0].Code = at(2100), CodeRefused },
