A burst is shed by a ranking of its requests: a round's decision no longer grows as its square

Callers saw: on a busy machine a burst of some thousand requests was refused as a whole where the first dozen could have been served.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -47,7 +47,13 @@
 
 	otherRunnable float64 // what wanted a core at the last tick beside runs: reads of requests
 
-	scratch struct{ all, kept, shed []*Request } // memory used again by each round
+	scratch scratch
+}
+
+// scratch is memory that is used again by each round.
+type scratch struct {
+	active, shed []*Request
+	ranking      valueRanking
 }
 
 // New starts the decisions of a server that knows its settings and nothing else. The seed draws the jitter of retries and
--- a/admission/health.go
+++ b/admission/health.go
@@ -49,6 +49,10 @@
 	c.shedding.level = maxShedLevel
 	inFlight := c.inFlight().total
 	for len(c.queue) > 0 && inFlight+float64(len(c.queue)) > 1 {
-		c.reject(c.queue[len(c.queue)-1], ReasonRunsFail, w)
+		last := len(c.queue) - 1
+		request := c.queue[last]
+		c.queue[last] = nil
+		c.queue = c.queue[:last]
+		c.answerRejected(request, ReasonRunsFail, w)
 	}
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -22,12 +22,12 @@
 	if c.drain.begun() {
 		c.drain.limit(request)
 		if c.drain.pastGrace(request.ReceivedAt(), c.settings.Grace) {
-			c.reject(request, ReasonDraining, w)
+			c.answerRejected(request, ReasonDraining, w)
 			return
 		}
 	}
 	if request.Route.Idempotency == Keyed && !c.rememberKey(request, w) {
-		c.reject(request, ReasonMemory, w)
+		c.answerRejected(request, ReasonMemory, w)
 		return
 	}
 	c.enqueue(request)
@@ -111,15 +111,26 @@
 	}
 }
 
+// removeAnswered takes the answered requests out of the queue, all at once: a burst may have shed thousands.
+func (c *Controller) removeAnswered() {
+	c.queue = slices.DeleteFunc(c.queue, func(request *Request) bool { return request.answered })
+}
+
 // expireRequests answers, in whatever phase they are, the requests for which an answer earns nothing any more.
 func (c *Controller) expireRequests(w Executor) {
-	c.scratch.all = append(append(c.scratch.all[:0], c.queue...), c.active...)
-	for _, request := range c.scratch.all {
-		switch {
-		case c.now < request.usefulUntil:
-		case request.phase == queued:
-			c.reject(request, c.expiryReason(request), w)
-		case !request.answered:
+	expired := false
+	for _, request := range c.queue {
+		if c.now >= request.usefulUntil {
+			c.answerRejected(request, c.expiryReason(request), w)
+			expired = true
+		}
+	}
+	if expired {
+		c.removeAnswered()
+	}
+	c.scratch.active = append(c.scratch.active[:0], c.active...)
+	for _, request := range c.scratch.active {
+		if c.now >= request.usefulUntil && !request.answered {
 			c.abort(request, c.expiryReason(request), w)
 		}
 	}
--- a/admission/reject.go
+++ b/admission/reject.go
@@ -9,12 +9,11 @@
 	fleetFullLevel = 0.06
 )
 
-// reject answers a request that never ran.
-func (c *Controller) reject(request *Request, reason RejectReason, w Executor) {
+// answerRejected answers a request that never ran. One that is queued stays in the queue until removeAnswered.
+func (c *Controller) answerRejected(request *Request, reason RejectReason, w Executor) {
 	request.reason = reason
 	c.releaseKey(request, w)
 	request.answered = true
-	c.release(request)
 	w.Reject(request, c.retryAfter(request), c.noRetryElsewhere(request))
 }
 
--- a/admission/reject_test.go
+++ b/admission/reject_test.go
@@ -60,7 +60,7 @@
 		b := newBench(nil)
 		x := b.request("x", 0)
 		x.usefulUntil, b.shedding.level = b.at+c.left, c.level
-		b.reject(x, ReasonNoTime, b)
+		b.answerRejected(x, ReasonNoTime, b)
 		assert.Equal(t, c.want, b.noRetryElsewhere)
 	}
 }
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// plannedWaitShare is the part of the time for which a request could wait that it is ever planned to wait.
@@ -26,9 +23,12 @@
 		if request.Rank >= c.shedding.level {
 			c.shedding.addShed(c.now, c.expectedWork(request))
 		}
-		c.reject(request, request.reason, w)
+		c.answerRejected(request, request.reason, w)
+	}
+	if len(p.shed) > 0 {
+		c.removeAnswered()
 	}
-	c.scratch.kept, c.scratch.shed = p.kept, p.shed
+	c.scratch.ranking, c.scratch.shed = p.ranking, p.shed
 }
 
 // queuePlan lays queued requests on the cores.
@@ -37,13 +37,15 @@
 	ahead      time.Duration // core time of all that is planned so far
 	width      float64       // cores that it is spread over
 	callWait   time.Duration // of a request that calls the dependency
-	kept       []*Request
+	planned    int           // requests, from the head of the queue on, those that were shed included
+	ranked     bool          // ranking holds the planned requests
+	ranking    valueRanking
 	shed       []*Request
 }
 
 // newQueuePlan begins with what runs.
 func (c *Controller) newQueuePlan() queuePlan {
-	p := queuePlan{controller: c, kept: c.scratch.kept[:0], shed: c.scratch.shed[:0]}
+	p := queuePlan{controller: c, ranking: c.scratch.ranking[:0], shed: c.scratch.shed[:0]}
 	for _, request := range c.active {
 		if request.phase == running {
 			p.ahead += c.remainingWork(request, minRemainingDivisor)
@@ -58,21 +60,31 @@
 // add plans a request behind the others. Where it would start too late, requests planned so far are shed until it does not,
 // or is shed itself.
 func (p *queuePlan) add(request *Request) {
-	c := p.controller
-	p.kept = append(p.kept, request)
-	p.ahead += c.expectedWork(request)
-	for len(p.kept) > 0 {
-		start, latest := p.schedule(request)
-		if start <= latest || p.shedLeastValuable(start-latest, ReasonNoTime) == request {
+	work := p.controller.expectedWork(request)
+	p.ahead += work
+	for {
+		start, latest := p.schedule(request, work)
+		if start <= latest {
+			break
+		}
+		p.rank()
+		own := rankedRequest{request, p.controller.valueDensity(request), p.planned}
+		if len(p.ranking) == 0 || !p.ranking[0].before(own) {
+			p.planned++
+			p.shedRequest(request, start-latest, ReasonNoTime)
 			return
 		}
+		p.shedRequest(p.ranking.removeLeast(), start-latest, ReasonNoTime)
+	}
+	if p.ranked {
+		p.ranking.add(rankedRequest{request, p.controller.valueDensity(request), p.planned})
 	}
+	p.planned++
 }
 
 // schedule is when the request, the last one planned, would start, and when it has to start at the latest.
-func (p *queuePlan) schedule(request *Request) (start, latest time.Duration) {
+func (p *queuePlan) schedule(request *Request, work time.Duration) (start, latest time.Duration) {
 	c := p.controller
-	work := c.expectedWork(request)
 	start = c.now + time.Duration(float64(p.ahead-work)/p.width)
 	wait, run := request.Route.CallWait, time.Duration(medianToMean*float64(work))
 	if request.Route.CallsDependency {
@@ -84,21 +96,22 @@
 	return start, latest
 }
 
-// shedLeastValuable takes the request of the least value for its work out of the plan; of equals the last one.
-func (p *queuePlan) shedLeastValuable(excess time.Duration, reason RejectReason) *Request {
-	c := p.controller
-	least := 0
-	for i := range p.kept {
-		if c.valueDensity(p.kept[i]) <= c.valueDensity(p.kept[least]) {
-			least = i
-		}
+// rank ranks the requests that were planned before the first one was shed. Most rounds shed nothing and need no ranking.
+func (p *queuePlan) rank() {
+	if p.ranked {
+		return
+	}
+	p.ranked = true
+	for position, request := range p.controller.queue[:p.planned] {
+		p.ranking.add(rankedRequest{request, p.controller.valueDensity(request), position})
 	}
-	request := p.kept[least]
+}
+
+// shedRequest takes a request out of the plan.
+func (p *queuePlan) shedRequest(request *Request, excess time.Duration, reason RejectReason) {
 	request.queueExcess, request.reason = excess, reason
-	p.kept = slices.Delete(p.kept, least, least+1)
 	p.shed = append(p.shed, request)
-	p.ahead -= c.expectedWork(request)
-	return request
+	p.ahead -= p.controller.expectedWork(request)
 }
 
 // shedForMemory sheds while queued requests take memory that there is not: they are read before anything is decided on them.
@@ -108,8 +121,14 @@
 	for _, request := range p.shed {
 		excessKB -= request.HeldKB
 	}
-	for excessKB > 0 && len(p.kept) > 0 {
-		excessKB -= p.shedLeastValuable(0, ReasonMemory).HeldKB
+	if excessKB <= 0 {
+		return
+	}
+	p.rank()
+	for excessKB > 0 && len(p.ranking) > 0 {
+		request := p.ranking.removeLeast()
+		p.shedRequest(request, 0, ReasonMemory)
+		excessKB -= request.HeldKB
 	}
 }
 
