A burst behind a start is no longer shed by a guess of how long its runs take

Callers saw: a fresh, idle server refused part of a burst, at an age below a millisecond, though it could have served all of it in a fifth of the time: TestComposed, 61 and 56 of 62 complete on a busy machine, not traced until now.

Cause: until a run of a route has ended, expectedWork takes each request for a sixth of its latency target (167 ms for runs of 20), and the plan of the queue sheds what does not fit behind the others at that length.

The plan now takes for such a route what its longest run has taken so far; what a request needs itself is still the prior. TestBurstOfAnUnmeasuredRouteIsKept fails before.

Tests changed: TestLateAnswersAreShedFirstWhereCoresAreShort measures its routes first, at the length that the guess had, as nothing is shed by a guess any more; its expected decisions are the same.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -185,6 +185,7 @@
 	}
 	if request.phase.onCores() {
 		request.coreTime += spent
+		request.Route.longestRun = max(request.Route.longestRun, request.coreTime)
 		request.Route.recentRuns.add(c.now, spent.Seconds())
 		if request.CostHint > 0 {
 			c.work.hinted.add(c.now, spent.Seconds())
--- a/admission/route.go
+++ b/admission/route.go
@@ -31,9 +31,10 @@
 
 // routeStats is what was measured of a route. It outlasts a change of what is stated.
 type routeStats struct {
-	recentRuns  *slidingSums // see runTotals
-	coreSeconds movingMean   // of a run
-	latency     movingMean   // seconds from a run's start to its end
+	recentRuns  *slidingSums  // see runTotals
+	coreSeconds movingMean    // of a run
+	latency     movingMean    // seconds from a run's start to its end
+	longestRun  time.Duration // on the cores, of a run that has ended or not
 
 	coreSample, runSample sampleStats // of both, for other servers
 	peerCoreSeconds       peerEstimate
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -38,6 +38,10 @@
 	OverQuotaValue float64 // value of what a tenant asks beyond its quota, as a share of the value within it
 	ValueByWork    bool    // a route's value is for each second of work; otherwise for each request
 
+	// EstimatesOnly has queued requests shed by estimates alone, whatever those rest on, as releases of 2026-12-03 and before
+	// did. Their recordings are replayed with it.
+	EstimatesOnly bool
+
 	Routes  []Route // of each the settings only
 	Tenants []Tenant
 }
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -48,7 +48,7 @@
 	p := queuePlan{controller: c, ranking: c.scratch.ranking[:0], shed: c.scratch.shed[:0]}
 	for _, request := range c.active {
 		if request.phase == running {
-			p.ahead += c.remainingWork(request, minRemainingDivisor)
+			p.ahead += remainingOf(c.plannedWork(request, c.expectedWork(request)), request.coreTime, minRemainingDivisor)
 		}
 	}
 	count := c.inFlight()
@@ -60,32 +60,35 @@
 // add plans a request behind the others. Where it would start too late, requests planned so far are shed until it does not,
 // or is shed itself.
 func (p *queuePlan) add(request *Request) {
-	work := p.controller.expectedWork(request)
-	p.ahead += work
+	c := p.controller
+	work := c.expectedWork(request)
 	for {
 		start, latest := p.schedule(request, work)
 		if start <= latest {
 			break
 		}
 		p.rank()
-		own := rankedRequest{request, p.controller.valueDensity(request), p.planned}
+		own := rankedRequest{request, c.valueDensity(request), p.planned}
 		if len(p.ranking) == 0 || !p.ranking[0].before(own) {
 			p.planned++
 			p.shedRequest(request, start-latest, ReasonNoTime)
 			return
 		}
-		p.shedRequest(p.ranking.removeLeast(), start-latest, ReasonNoTime)
+		least := p.ranking.removeLeast()
+		p.shedRequest(least, start-latest, ReasonNoTime)
+		p.ahead -= c.plannedWork(least, c.expectedWork(least))
 	}
+	p.ahead += c.plannedWork(request, work)
 	if p.ranked {
-		p.ranking.add(rankedRequest{request, p.controller.valueDensity(request), p.planned})
+		p.ranking.add(rankedRequest{request, c.valueDensity(request), p.planned})
 	}
 	p.planned++
 }
 
-// schedule is when the request, the last one planned, would start, and when it has to start at the latest.
+// schedule is when the request, the next one to be planned, would start, and when it has to start at the latest.
 func (p *queuePlan) schedule(request *Request, work time.Duration) (start, latest time.Duration) {
 	c := p.controller
-	start = c.now + time.Duration(float64(p.ahead-work)/p.width)
+	start = c.now + time.Duration(float64(p.ahead)/p.width)
 	wait, run := request.Route.CallWait, time.Duration(medianToMean*float64(work))
 	if request.Route.CallsDependency {
 		wait = max(wait, p.callWait)
@@ -111,7 +114,6 @@
 func (p *queuePlan) shedRequest(request *Request, excess time.Duration, reason RejectReason) {
 	request.queueExcess, request.reason = excess, reason
 	p.shed = append(p.shed, request)
-	p.ahead -= p.controller.expectedWork(request)
 }
 
 // shedForMemory sheds while queued requests take memory that there is not: they are read before anything is decided on them.
--- a/admission/shed_test.go
+++ b/admission/shed_test.go
@@ -32,6 +32,9 @@
 		s.Cores, s.ValueByWork, s.Routes[0].LateValueShare = 1, true, 0.2
 		s.Routes[1].Idempotency, s.Routes[1].Value = Retryable, 1
 	})
+	for kind := range 2 { // how long runs take is known: nothing is shed by a guess
+		b.run(b.request("usual", kind), b.Routes[kind].LatencyTarget/unknownWorkDivisor)
+	}
 	b.round(Round{Arrived: []*Request{b.request("running", 1)}})
 	var line []*Request
 	for i := range 3 {
@@ -85,3 +88,37 @@
 	assert.Equal(t, b.valueDensity(within), (&bench{Controller: newBench(nil).Controller}).valueDensity(within))
 	assert.InDelta(t, 0.525*b.valueDensity(within), b.valueDensity(over), 0.001)
 }
+
+// A burst that came before the first run of its route had ended was shed by the guess that each request takes a sixth of its
+// latency target, on an idle machine that does a hundred of them in that time.
+func TestBurstOfAnUnmeasuredRouteIsKept(t *testing.T) {
+	b := newBench(nil)
+	var burst []*Request
+	for range 30 {
+		burst = append(burst, b.request("burst", 0))
+	}
+	first := b.round(Round{Arrived: burst})
+	assert.NotContains(t, first, "reject")
+	b.at += 20 * ms
+	var ended []Completion
+	for _, request := range burst {
+		if request.phase == running {
+			ended = append(ended, Completion{Request: request, Outcome: Succeeded, Took: 20 * ms})
+		}
+	}
+	assert.NotContains(t, b.round(Round{RunsEnded: ended}), "reject", "and they are short, so the others have time")
+}
+
+// Where the runs of such a route do not end, the time that they have taken tells that the burst has too little left: it is
+// shed long before its deadline.
+func TestBurstOfAnUnmeasuredRouteIsShedWhereItsRunsTakeLong(t *testing.T) {
+	b := newBench(nil)
+	var burst []*Request
+	for range 30 {
+		burst = append(burst, b.request("burst", 0))
+	}
+	b.round(Round{Arrived: burst})
+	decisions := b.pass(b.Routes[0].LatencyTarget/unknownWorkDivisor, Gauges{CPU: 1, Runnable: 4})
+	assert.Contains(t, decisions, "reject")
+	assert.NotContains(t, decisions, "abort")
+}
--- a/admission/work.go
+++ b/admission/work.go
@@ -65,9 +65,30 @@
 	return time.Duration((spent + prior*ratio) / (hinted + prior) * float64(hint))
 }
 
+// workKnown is whether expectedWork rests on runs that have ended, here or at other servers.
+func (c *Controller) workKnown(request *Request) bool {
+	route := request.Route
+	return route.coreSeconds.count > 0 || c.peers.present && route.peerCoreSeconds.weight > 0 ||
+		request.CostHint > 0 && (c.work.hintRatio.count > 0 || c.work.peerHintRatio.weight > 0) ||
+		runTotalsOf(route.recentRuns.sum(c.now)).ended > 0
+}
+
+// plannedWork is the core time for which a request is planned to keep those behind it waiting. Nothing waits for a guess:
+// until a run of its route has ended, it is what the longest run of the route has taken so far.
+func (c *Controller) plannedWork(request *Request, expected time.Duration) time.Duration {
+	if !c.settings.EstimatesOnly && !c.workKnown(request) {
+		return request.Route.longestRun
+	}
+	return expected
+}
+
 // remainingWork is the core time that an unfinished request is expected to need from here on, of which a part is always
 // expected: the whole by minimumDivisor.
 func (c *Controller) remainingWork(request *Request, minimumDivisor int) time.Duration {
-	expected := c.expectedWork(request)
-	return max(expected-request.coreTime, expected/time.Duration(minimumDivisor))
+	return remainingOf(c.expectedWork(request), request.coreTime, minimumDivisor)
+}
+
+// remainingOf is what is left of the work expected of a request, and at least the whole by minimumDivisor.
+func remainingOf(expected, done time.Duration, minimumDivisor int) time.Duration {
+	return max(expected-done, expected/time.Duration(minimumDivisor))
 }
