Behind a hang one request is tried, and a usual run ends the refusals

Callers saw: after eight seconds in which the worker pool stood still an idle server went on to refuse everything for four to six seconds.

Cause: expectedWork holds the core time of unfinished runs over 6 s. Runs that stood still fill it, all is refused by it alone (work=13.46s wait=0s in the log), and nothing runs that could show that the machine works again.

A run that is usual is the proof, and the recent sums are forgotten; one that takes long leaves them (half-open, as a breaker). No timer has a part in it.

--- a/admission/admit.go
+++ b/admission/admit.go
@@ -7,10 +7,13 @@
 	maxRunsAndReadsPerCore = 1.2
 )
 
-// mayStart is whether a queued request may start: within the concurrency that the server survives, with memory for its run,
+// mayStart is whether a queued request may start: behind a trial that holds the queue, within the concurrency that the server survives, with memory for its run,
 // behind the reading of requests, and under the in-flight limit. Beyond the limit it may still start where a core has no run
 // on it: requests in flight that wait at calls leave cores idle.
 func (c *Controller) mayStart(request *Request) bool {
+	if c.trial.holds() {
+		return false
+	}
 	count := c.inFlight()
 	if count.total-count.awaitingCall+1 > c.maxConcurrency() {
 		return false
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -39,6 +39,7 @@
 	shedding    shedLevel
 	calls       callCapacity
 	work        workEstimate
+	trial       trial
 	peers       peerScale
 	connections connectionReuse
 	health      runHealth
@@ -166,6 +167,9 @@
 		request.started = true
 		c.active = append(c.active, request)
 		c.enterPhase(request, running)
+		if request.onTrial {
+			c.beginTrial(request)
+		}
 		w.Start(request)
 	}
 }
@@ -201,6 +205,7 @@
 		return
 	}
 	c.chargePhase(request)
+	defer c.endTrial(end)
 	if request.phase == calling {
 		// The end of its call was not reported: the call is abandoned with the run, and stays the dependency's load.
 		c.calls.charge(c.now, c.settings.CallLinger)
--- a/admission/request.go
+++ b/admission/request.go
@@ -25,6 +25,7 @@
 	usefulUntil  time.Duration // the moment after which an answer earns nothing
 	coreTime     time.Duration // on the cores so far
 	queueExcess  time.Duration // by how much the queue ahead of it was too long when it was shed
+	onTrial      bool          // see trial
 	plannedLate  bool          // last planned to end past its latency target
 	reason       RejectReason
 	shedBasis    ShedBasis
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -38,6 +38,8 @@
 	width      float64       // cores that it is spread over
 	callWait   time.Duration // of a request that calls the dependency
 	planned    int           // requests, from the head of the queue on, those that were shed included
+	trying     bool          // a request is kept for a trial
+	usual      bool          // by the usual work, for a trial is to show whether that holds
 	ranked     bool          // ranking holds the planned requests
 	ranking    valueRanking
 	shed       []*Request
@@ -45,10 +47,10 @@
 
 // newQueuePlan begins with what runs.
 func (c *Controller) newQueuePlan() queuePlan {
-	p := queuePlan{controller: c, ranking: c.scratch.ranking[:0], shed: c.scratch.shed[:0]}
+	p := queuePlan{controller: c, usual: c.trial.open(), ranking: c.scratch.ranking[:0], shed: c.scratch.shed[:0]}
 	for _, request := range c.active {
 		if request.phase == running {
-			p.ahead += remainingOf(c.plannedWork(request, c.expectedWork(request)), request.coreTime, minRemainingDivisor)
+			p.ahead += remainingOf(c.plannedWork(request, p.work(request)), request.coreTime, minRemainingDivisor)
 		}
 	}
 	count := c.inFlight()
@@ -57,16 +59,29 @@
 	return p
 }
 
+// work is the core time that the plan takes a request to need.
+func (p *queuePlan) work(request *Request) time.Duration {
+	if p.usual {
+		return p.controller.usualWork(request)
+	}
+	return p.controller.expectedWork(request)
+}
+
 // add plans a request behind the others. Where it would start too late, requests planned so far are shed until it does not,
 // or is shed itself.
 func (p *queuePlan) add(request *Request) {
 	c := p.controller
-	work := c.expectedWork(request)
+	work := p.work(request)
+	request.onTrial = false
 	for {
 		start, latest := p.schedule(request, work)
 		if start <= latest {
 			break
 		}
+		if p.keepForTrial(request) {
+			work = p.work(request)
+			break
+		}
 		p.rank()
 		own := rankedRequest{request, c.valueDensity(request), p.planned}
 		if len(p.ranking) == 0 || !p.ranking[0].before(own) {
@@ -76,7 +91,7 @@
 		}
 		least := p.ranking.removeLeast()
 		p.shedForTime(least, start, latest)
-		p.ahead -= c.plannedWork(least, c.expectedWork(least))
+		p.ahead -= c.plannedWork(least, p.work(least))
 	}
 	p.ahead += c.plannedWork(request, work)
 	if p.ranked {
@@ -85,6 +100,17 @@
 	p.planned++
 }
 
+// keepForTrial keeps a request that there is no time for by its expected work, where it may be tried. Those behind it are planned
+// by their usual work until the trial shows that this does not hold.
+func (p *queuePlan) keepForTrial(request *Request) bool {
+	if p.usual || p.trying || !p.controller.mayTry(request) {
+		return false
+	}
+	request.onTrial, p.trying = true, true
+	p.usual = !p.controller.trial.lastLong
+	return true
+}
+
 // schedule is when the request, the next one to be planned, would start, and when it has to start at the latest.
 func (p *queuePlan) schedule(request *Request, work time.Duration) (start, latest time.Duration) {
 	c := p.controller
--- a/admission/statistics.go
+++ b/admission/statistics.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// reset drops all sums.
+func (s *slidingSums) reset() { clear(s.parts) }
+
 // sum is over the whole window.
 func (s *slidingSums) sum(now time.Duration) [maxSums]float64 { return s.recent(now, len(s.parts)) }
 
--- a/admission/work.go
+++ b/admission/work.go
@@ -38,20 +38,36 @@
 	}
 }
 
-// expectedWork is the core time that a request is expected to take here, from the recent runs and a prior. Time spent on
-// unfinished runs counts against the runs that ended, so that a machine that has slowed down shows before the first end.
-func (c *Controller) expectedWork(request *Request) time.Duration {
+// usualWork is the core time that a request takes in the long run, whatever the recent runs say.
+func (c *Controller) usualWork(request *Request) time.Duration {
 	if request.CostHint > 0 && (c.work.hintRatio.count > 0 || c.work.peerHintRatio.weight > 0) {
-		return c.expectedHintedWork(request.CostHint)
+		ratio, _ := c.prior(c.work.hintRatio, &c.work.peerHintRatio)
+		return time.Duration(ratio * float64(request.CostHint))
 	}
-	known := request.Route.coreSeconds
+	mean, _ := c.priorWork(request.Route)
+	return time.Duration(mean * float64(time.Second))
+}
+
+// priorWork is the core time in seconds that runs of a route are expected to take before the recent ones are looked at, and
+// the number of runs that it counts for.
+func (c *Controller) priorWork(route *Route) (mean, runs float64) {
+	known := route.coreSeconds
 	if known.count == 0 {
-		known.mean = request.Route.LatencyTarget.Seconds() / unknownWorkDivisor
+		known.mean = route.LatencyTarget.Seconds() / unknownWorkDivisor
 	}
-	mean, runs := known.mean, priorRuns
 	if c.peers.present {
-		mean, runs = c.prior(known, &request.Route.peerCoreSeconds)
+		return c.prior(known, &route.peerCoreSeconds)
+	}
+	return known.mean, priorRuns
+}
+
+// expectedWork is the core time that a request is expected to take here, from the recent runs and a prior. Time spent on
+// unfinished runs counts against the runs that ended, so that a machine that has slowed down shows before the first end.
+func (c *Controller) expectedWork(request *Request) time.Duration {
+	if request.CostHint > 0 && (c.work.hintRatio.count > 0 || c.work.peerHintRatio.weight > 0) {
+		return c.expectedHintedWork(request.CostHint)
 	}
+	mean, runs := c.priorWork(request.Route)
 	recent := runTotalsOf(request.Route.recentRuns.sum(c.now))
 	return time.Duration((max(recent.coreSeconds, 0) + runs*mean) / (recent.ended + runs) * float64(time.Second))
 }
