Soak: a process that ends between its timeout and its kill is no error; failed runs keep logs

Cause: Daemon.ShutdownWithin took os.ErrProcessDone from Kill for a fault of the run. It is the process ending by itself in that moment, and counts as that, with its exit code.

--- a/cmd/quartzpoint-bench/soak.go
+++ b/cmd/quartzpoint-bench/soak.go
@@ -22,7 +22,7 @@
 	Span     time.Duration `default:"8s" help:"How long the faults of a run go on."`
 	Parallel int           `default:"3" help:"Runs at once."`
 	Program  string        `default:"bin/quartzpoint" help:"The daemon."`
-	Keep     string        `placeholder:"FOLDER" help:"Keep the logs of processes of runs with violations here."`
+	Keep     string        `placeholder:"FOLDER" help:"Keep the logs of processes of runs with violations, and of failed runs, here."`
 	Verbose  bool          `help:"Print the plan of each run."`
 }
 
@@ -76,13 +76,13 @@
 	for _, v := range outcome.violations {
 		fmt.Println("    violation,", v)
 	}
-	if cmd.Keep != "" && len(outcome.violations) > 0 {
+	if cmd.Keep != "" && (len(outcome.violations) > 0 || outcome.err != nil) {
 		outcome.err = errors.Join(outcome.err, soak.WriteLogs(cmd.Keep, outcome.history))
 	}
 	return outcome
 }
 
-// summary prints the last line. It reslots errSoak where there was a violation or a failed run.
+// summary prints the last line. It returns errSoak where there was a violation or a failed run.
 func (cmd *soakCommand) summary(outcomes []soakOutcome) error {
 	var total soak.Totals
 	violations, failed := 0, 0
--- a/internal/testkit/harness/daemon.go
+++ b/internal/testkit/harness/daemon.go
@@ -168,16 +168,31 @@
 	case <-d.exited:
 		exit = d.cmd.ProcessState.ExitCode()
 	case <-time.After(timeout):
-		killed = true
-		if err := d.cmd.Process.Kill(); err != nil {
-			return 0, true, fmt.Errorf("SIGKILL after the timeout: %w", err)
+		if killed, err = d.kill(); err != nil {
+			return 0, true, err
 		}
 		<-d.exited
+		exit = d.cmd.ProcessState.ExitCode()
 	}
 	d.cmd = nil
+	if killed {
+		exit = 0 // the process did not end by itself
+	}
 	return exit, killed, nil
 }
 
+// kill sends SIGKILL. A process that has ended by itself since the timeout is not killed, which is no error.
+func (d *Daemon) kill() (killed bool, err error) {
+	err = d.cmd.Process.Kill()
+	switch {
+	case errors.Is(err, os.ErrProcessDone):
+		return false, nil
+	case err != nil:
+		return false, fmt.Errorf("SIGKILL after the timeout: %w", err)
+	}
+	return true, nil
+}
+
 // Pause stops the server and its pool for a span.
 func (d *Daemon) Pause(span time.Duration) error {
 	speed := 0.0
--- a/internal/testkit/soak/runner.go
+++ b/internal/testkit/soak/runner.go
@@ -205,10 +205,7 @@
 	daemon, _, incarnation := s.process()
 	p.history.update(func() { incarnation.NotifiedAt = time.Now() })
 	exit, killed, err := daemon.ShutdownWithin(p.plan.KillAfter())
-	if err != nil {
-		return err
-	}
-	return p.recordEnd(s, exit, killed)
+	return errors.Join(err, p.recordEnd(s, exit, killed)) // also with an error: the log tells of it
 }
 
 // shutdownAll shuts all running processes down.
