--- a/internal/testkit/soak/history.go
+++ b/internal/testkit/soak/history.go
@@ -55,6 +55,15 @@
 	Total time.Duration
 }
 
+// drainDistance returns by how much the process ended before the earliest kill, for one that was shut down; below 0 it would
+// have been killed. known is false for others.
+func (l *Incarnation) drainDistance(killAfter time.Duration) (distance time.Duration, known bool) {
+	if l.NotifiedAt.IsZero() || l.EndedAt.IsZero() || !l.KilledAt.IsZero() {
+		return 0, false
+	}
+	return killAfter - l.EndedAt.Sub(l.NotifiedAt), true
+}
+
 // cpuWait returns the time that the process waited for a core from one moment to another. Totals fall when a thread ends,
 // as its time is not counted any more; that counts as no wait.
 func (l *Incarnation) cpuWait(from, to time.Time) time.Duration {
--- a/internal/testkit/soak/plan.go
+++ b/internal/testkit/soak/plan.go
@@ -59,6 +59,18 @@
 	Garbage           FaultKind = "garbage"     // clients that send invalid frames or half a request, and close
 	SlowCalls         FaultKind = "slow calls"  // the dependency takes Size times as long
 	UnresponsiveCalls FaultKind = "shut calls"  // the dependency reads calls and answers none
+	SignalSeries      FaultKind = "signals"     // a graceful restart with SIGHUP before, and SIGHUP and SIGTERM in turn until the end
+	Burst             FaultKind = "burst"       // Size connections send burstRequests each at once
+)
+
+const (
+	burstRequests    = 24 // of a connection; the protocol allows 32
+	minBurst         = 8  // connections
+	maxBurst         = 64
+	signalPlansShare = 0.5 // of the plans, have a SignalSeries
+	burstPlansShare  = 0.4 // of the plans, have a Burst
+	// extraFaultsSeed parts the draw of these faults from that of the others, whose plans stay what they were for a seed.
+	extraFaultsSeed = 0x5eed
 )
 
 // faultKinds are drawn with equal probability.
@@ -139,6 +151,7 @@
 	for range minFaults + rng.Intn(maxFaults-minFaults+1) {
 		p.Faults = append(p.Faults, p.drawFault(rng))
 	}
+	p.Faults = append(p.Faults, p.drawExtraFaults(rand.New(rand.NewSource(seed^extraFaultsSeed)))...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
@@ -178,10 +191,25 @@
 	case IdleConnections:
 		f.Size = float64(p.Sockets) * (0.3 + 0.9*rng.Float64())
 	case Hang, Kill, GracefulRestart, Garbage, UnresponsiveCalls: // nothing more to draw
+	case SignalSeries, Burst: // see drawExtraFaults
 	}
 	return f
 }
 
+// drawExtraFaults draws the series of signals and the bursts.
+func (p *Plan) drawExtraFaults(rng *rand.Rand) (faults []Fault) {
+	add := func(kind FaultKind, size float64) {
+		faults = append(faults, Fault{Kind: kind, Server: rng.Intn(p.Servers), At: between(rng, faultFreeBefore, p.Span*3/4), Size: size})
+	}
+	if rng.Float64() < signalPlansShare {
+		add(SignalSeries, 0)
+	}
+	if rng.Float64() < burstPlansShare {
+		add(Burst, float64(minBurst+rng.Intn(maxBurst-minBurst)))
+	}
+	return faults
+}
+
 func between(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Float64()*float64(high-low))
 }
--- a/internal/testkit/soak/report.go
+++ b/internal/testkit/soak/report.go
@@ -4,11 +4,29 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"time"
 )
 
 // Totals are counts over runs.
 type Totals struct {
 	Faults, Processes, Requests, Served, Rejected, Aborted, Unanswered int
+
+	drainDistances []time.Duration
+	killed         int // after their notice
+}
+
+// Drains describes by how much processes ended before the earliest kill.
+func (t *Totals) Drains() string {
+	distances := slices.Sorted(slices.Values(t.drainDistances))
+	if len(distances) == 0 {
+		return "no drains"
+	}
+	at := func(share float64) time.Duration {
+		return distances[int(share*float64(len(distances)-1))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("%d drains ended before the kill by %v at the least, %v, %v and %v at the 1st, 10th and 50th in 100; %d had to be killed",
+		len(distances), at(0), at(0.01), at(0.1), at(0.5), t.killed)
 }
 
 // Add adds the counts of a run.
@@ -16,6 +34,16 @@
 	t.Faults += len(h.Plan.Faults)
 	t.Processes += len(h.Incarnations)
 	t.Requests += len(h.Requests)
+	for _, incarnation := range h.Incarnations {
+		distance, known := incarnation.drainDistance(h.Plan.KillAfter())
+		switch {
+		case !known:
+		case incarnation.KilledAfterTimeout:
+			t.killed++
+		default:
+			t.drainDistances = append(t.drainDistances, distance)
+		}
+	}
 	for _, r := range h.Requests {
 		switch {
 		case len(r.Answers) == 0:
--- a/internal/testkit/soak/runner.go
+++ b/internal/testkit/soak/runner.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	linkCutInterval     = 60 * time.Millisecond
 	reloadInterval      = 30 * time.Millisecond
 	garbageInterval     = 10 * time.Millisecond
+	maxSignalInterval   = 250 * time.Millisecond
 	idleConnectionsTime = 2 * time.Second
 	cpuWaitInterval     = 40 * time.Millisecond
 )
@@ -63,6 +65,7 @@
 	plan       *Plan
 	slots      []*slot
 	dependency *harness.HTTPDependency
+	senders    atomic.Int64 // so far
 }
 
 // Run carries out a plan and returns what was recorded, also with an error.
@@ -89,8 +92,9 @@
 	done := make(chan struct{})
 	var senders, faults sync.WaitGroup
 	for n := range plan.Servers * plan.Senders {
+		number := p.nextSender()
 		senders.Go(func() {
-			newSender(h, p.slots[n%plan.Servers], n+1, plan.Seed<<16+int64(n)).run(done)
+			newSender(h, p.slots[n%plan.Servers], number, plan.Seed<<16+int64(n)).run(done)
 		})
 	}
 	failed := make([]error, len(plan.Faults))
@@ -208,6 +212,56 @@
 	return errors.Join(err, p.recordEnd(s, exit, killed)) // also with an error: the log tells of it
 }
 
+// shutdownUnderSignals shuts a process down amid further signals: SIGHUP before the notice, then SIGHUP and SIGTERM in turn
+// until the process is gone.
+func (p *runner) shutdownUnderSignals(s *slot, rng *rand.Rand) error {
+	daemon, _, _ := s.process()
+	for range rng.Intn(4) {
+		_ = daemon.Signal(syscall.SIGHUP)
+	}
+	ended := make(chan struct{})
+	var signals sync.WaitGroup
+	signals.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(between(rng, 0, maxSignalInterval)):
+			}
+			_ = daemon.Signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[n%2]) // an error: it has ended
+		}
+	})
+	err := p.shutdown(s)
+	close(ended)
+	signals.Wait()
+	return err
+}
+
+// burst sends burstRequests on each of so many connections at once, and waits until they are answered or past their
+// deadlines.
+func (p *runner) burst(s *slot, connections int, rng *rand.Rand) {
+	var senders sync.WaitGroup
+	for range connections {
+		burst := newSender(p.history, s, p.nextSender(), rng.Int63())
+		burst.slow = false
+		senders.Go(func() {
+			defer burst.readers.Wait()
+			c := burst.dial()
+			if c == nil {
+				return
+			}
+			for range burstRequests {
+				burst.send(c)
+			}
+			burst.closeWhenAnswered(c)
+		})
+	}
+	senders.Wait()
+}
+
+// nextSender returns a number that no other sender has.
+func (p *runner) nextSender() int { return int(p.senders.Add(1)) }
+
 // shutdownAll shuts all running processes down.
 func (p *runner) shutdownAll() error {
 	errs := make([]error, len(p.slots))
@@ -273,6 +327,10 @@
 		p.dependency.SetUnresponsive(false)
 	case IdleConnections:
 		openIdleConnections(ctx, daemon.Address, int(f.Size))
+	case SignalSeries:
+		return p.replace(ctx, s, func(s *slot) error { return p.shutdownUnderSignals(s, rng) })
+	case Burst:
+		p.burst(s, int(f.Size), rng)
 	case Garbage:
 		for time.Now().Before(until) {
 			sendGarbage(daemon.Address, rng)
