Shutdown of a gate says where its state is not stored

Store.Close returned nothing. It returns the error of the last writes, of a directory that can't be used, or of the time that ran out, and Shutdown wraps it as ErrStateNotStored, also in further calls. The daemon logs as before; its exit code stays. TestShutdownTellsThatTheStateIsNotStored needs the new error and so does not build before; Shutdown returned nil in both its cases.

--- a/cmd/quartzpoint/state.go
+++ b/cmd/quartzpoint/state.go
@@ -46,6 +46,6 @@
 // close has what is left written.
 func (p *statePersistence) close() {
 	if p.store != nil {
-		p.store.Close()
+		_ = p.store.Close() // the store has logged it
 	}
 }
--- a/errors.go
+++ b/errors.go
@@ -14,6 +14,9 @@
 	ErrShutDown = errors.New("quartzpoint: the gate is shut down")
 	// ErrKeyConflict is the error of a request that never ran, as its idempotency key came before with another fingerprint.
 	ErrKeyConflict = errors.New("quartzpoint: the idempotency key belongs to another request")
+	// ErrStateNotStored is the error of a Shutdown whose state is not on disk completely: the next process may lack
+	// idempotency keys that this one knew.
+	ErrStateNotStored = errors.New("quartzpoint: state not stored")
 	// ErrCallSkipped is the error of Call where the run is to go on without the call.
 	ErrCallSkipped = errors.New("quartzpoint: go on without the call")
 )
--- a/gate.go
+++ b/gate.go
@@ -39,6 +39,7 @@
 	shutdown  sync.Once
 	loopEnded chan struct{} // closed once the event loop has ended
 	closed    chan struct{} // closed once the store is closed too
+	storeErr  error         // of closing the store, set before closed is closed
 
 	accepting atomic.Bool
 	shedLevel atomic.Uint64 // bits of a float64
@@ -95,7 +96,7 @@
 	g.loop.Run()
 	close(g.loopEnded) // before the store closes: a request that arrives now must not wait for the disk
 	if g.store != nil {
-		g.store.Close()
+		g.storeErr = g.store.Close()
 	}
 }
 
@@ -139,9 +140,9 @@
 }
 
 // Shutdown drains the gate: Healthy turns false, requests that arrive within Options.Grace may still run, and all that were
-// received are answered before the context's deadline, or within 2.5 s without one. It returns nil once that is so. The
-// state is stored then, unless the disk takes longer than the store waits for it, which it logs. Functions that ignore their contexts may run on. The gate receives nothing after it; a further Shutdown
-// waits for the first.
+// received are answered before the context's deadline, or within 2.5 s without one. It returns nil once that is so and the
+// state is on disk, and ErrStateNotStored where the directory fails or takes longer than a quarter of a second. Functions that
+// ignore their contexts may run on. The gate receives nothing after it; a further Shutdown waits for the first.
 func (g *Gate) Shutdown(ctx context.Context) error {
 	timeout := defaultShutdownTimeout
 	if deadline, ok := ctx.Deadline(); ok {
@@ -155,6 +156,9 @@
 	// one that never ran. The store takes a quarter of a second at most to close.
 	<-g.loopEnded
 	<-g.closed
+	if g.storeErr != nil {
+		return fmt.Errorf("%w: %w", ErrStateNotStored, g.storeErr)
+	}
 	return nil
 }
 
--- a/internal/store/run.go
+++ b/internal/store/run.go
@@ -53,7 +53,7 @@
 		s.writeRecords(b.records, b.lastMark)
 		s.startDueJob()
 		if b.closing {
-			s.finish()
+			s.closeErr = s.finish()
 			return
 		}
 	}
@@ -173,10 +173,11 @@
 	go func() { done <- job() }()
 }
 
-// finish waits for the running job, writes the newest estimates, and closes the directory.
-func (s *Store) finish() {
+// finish waits for the running job, writes the newest estimates, and closes the directory. It returns an error where not all
+// of the state is on disk.
+func (s *Store) finish() error {
 	if s.writer == nil {
-		return
+		return errSuspended
 	}
 	var err error
 	if s.job != nil {
@@ -188,4 +189,5 @@
 	if err = errors.Join(err, s.writer.close()); err != nil {
 		s.options.Log.Error("state not written completely", "error", err)
 	}
+	return err
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"sync"
@@ -28,6 +29,12 @@
 	closeTimeout      = 250 * time.Millisecond
 )
 
+// The errors of Close, beside those of the directory.
+var (
+	errCloseTimeout = fmt.Errorf("state not written completely within %v", closeTimeout)
+	errSuspended    = errors.New("the state directory cannot be used")
+)
+
 // Options configure a Store.
 type Options struct {
 	// OpenDir opens the directory, read-only without taking its lock.
@@ -77,6 +84,8 @@
 	options Options
 	wake    chan struct{}
 	stopped chan struct{}
+	// closeErr is set before stopped is closed.
+	closeErr error
 
 	mu              sync.Mutex
 	queue           []queuedRecord
@@ -205,16 +214,19 @@
 	s.wakeWriter()
 }
 
-// Close has what is queued written and the directory closed. It waits for that up to closeTimeout.
-func (s *Store) Close() {
+// Close has what is queued written and the directory closed. It waits for that up to closeTimeout, and returns an error where
+// not all of the state is on disk by then.
+func (s *Store) Close() error {
 	s.mu.Lock()
 	s.closing = true
 	s.mu.Unlock()
 	s.wakeWriter()
 	select {
 	case <-s.stopped:
+		return s.closeErr
 	case <-time.After(closeTimeout):
 		s.options.Log.Warn("state not written completely", "waited", closeTimeout)
+		return errCloseTimeout
 	}
 }
 
--- a/state_test.go
+++ b/state_test.go
@@ -145,6 +145,38 @@
 	assert.Empty(t, ran)
 }
 
+// The disk fails, or does not answer, as the gate is shut down. Shutdown returned nil although the next process would not know
+// what this one had run.
+func TestShutdownTellsThatTheStateIsNotStored(t *testing.T) {
+	hold := make(chan struct{})
+	faults := map[string]func(kind string) error{
+		"every call fails": func(string) error { return os.ErrInvalid },
+		"syncs stall": func(kind string) error {
+			if kind == "sync" {
+				<-hold
+			}
+			return nil
+		},
+	}
+	defer close(hold)
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			disk := faultdisk.New()
+			g, err := New(stateOptions(stateOnDisk(disk)))
+			require.NoError(t, err)
+			_, err = g.DoOnce(t.Context(), pay("x"), func(context.Context) ([]byte, error) {
+				disk.Set(func() { disk.Fail = fault })
+				return []byte("paid"), nil
+			})
+			require.NoError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), 500*ms)
+			defer cancel()
+			assert.ErrorIs(t, g.Shutdown(ctx), ErrStateNotStored)
+			assert.ErrorIs(t, g.Shutdown(ctx), ErrStateNotStored, "and the next call too")
+		})
+	}
+}
+
 func TestStateOptions(t *testing.T) {
 	_, err := New(Options{State: &State{}})
 	assert.ErrorContains(t, err, "Dir is needed")
