RequestKB bounds the requests that run at once, where it was checked and not used

Callers of the library saw: with requests stated to take 8 MiB each and 64 MiB of memory sixteen ran at once on sixteen cores. RequestKB was checked and never used; each request counted 64 KiB. It counts what is stated now, and a request that fits into no memory is refused by New. TestLargeRequestsAreBoundedByMemory fails before: 16 at once where 7 fit. The default of 64 KiB leaves all else as it was.

--- a/gate.go
+++ b/gate.go
@@ -32,6 +32,7 @@
 	store        *store.Store // nil without Options.State
 	tenants      map[string]int
 	overrunLimit int64
+	queuedKB     float64 // memory that a queued request counts with
 
 	executions sync.Pool     // of *execution
 	lastID     atomic.Uint64 // of executions
@@ -58,6 +59,7 @@
 	}
 	g := &Gate{
 		counters: invariant.New(options.Log), tenants: map[string]int{}, overrunLimit: int64(options.OverrunLimit),
+		queuedKB:  options.RequestKB / runningOverQueued,
 		loopEnded: make(chan struct{}), closed: make(chan struct{}),
 	}
 	for index, tenant := range options.Tenants {
--- a/gate_test.go
+++ b/gate_test.go
@@ -206,6 +206,32 @@
 	assert.Less(t, after.HeapAlloc, before.HeapAlloc+64<<20)
 }
 
+// Requests are stated to be large. RequestKB was checked and not used: all cores were filled, whatever fits into the memory.
+func TestLargeRequestsAreBoundedByMemory(t *testing.T) {
+	const fit = 7 // of 8 MiB into nine tenths of 64
+	g := newGate(t, Options{Cores: 16, MemoryMB: 64, RequestKB: 8 << 10, Routes: []Route{{Name: "a", LatencyTarget: 5 * time.Second}}})
+	var running, most atomic.Int32
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			assert.NoError(t, g.Do(t.Context(), Request{Route: "a"}, func(context.Context) error {
+				for n := running.Add(1); ; {
+					if before := most.Load(); n <= before || most.CompareAndSwap(before, n) {
+						break
+					}
+				}
+				time.Sleep(5 * ms)
+				running.Add(-1)
+				return nil
+			}))
+		})
+	}
+	all.Wait()
+	assert.LessOrEqual(t, most.Load(), int32(fit))
+	_, err := New(Options{MemoryMB: 64, RequestKB: 65 << 10})
+	assert.ErrorContains(t, err, "does not fit")
+}
+
 // A gate is shut down while functions run that never return. Their callers must be answered before the stop.
 func TestShutdown(t *testing.T) {
 	g, err := New(Options{Cores: 1, Grace: 50 * ms, Routes: []Route{{Name: "a", LatencyTarget: 10 * time.Second}}})
--- a/options.go
+++ b/options.go
@@ -38,7 +38,7 @@
 	Routes       []Route       `toml:"Types"`
 	Cores        float64       // processor cores that requests may fill (GOMAXPROCS)
 	MemoryMB     int           // memory of the process in MiB (GOMEMLIMIT, else the control group's limit, else 1,024)
-	RequestKB    float64       `toml:"TaskKB"` // memory of a running request in KiB (64); only checked, the decisions count 64
+	RequestKB    float64       `toml:"TaskKB"` // memory of a running request in KiB (64); so many run at once that nine tenths of MemoryMB hold them
 	Grace        time.Duration // after Shutdown, in which requests that arrive may still run (100 ms)
 	Seed         int64         // of the jitter of retries and of the turn among servers
 	OverrunLimit int           `toml:"Stuck"` // runs past their answer at which Healthy turns false (16)
@@ -148,6 +148,9 @@
 	if o.Cores <= 0 || o.MemoryMB <= 0 || o.RequestKB <= 0 || o.Grace < 0 {
 		return settings, errors.New("quartzpoint: Cores, MemoryMB, RequestKB and Grace must not be below 0")
 	}
+	if o.RequestKB > float64(o.MemoryMB<<10) {
+		return settings, fmt.Errorf("quartzpoint: a request of %v KiB does not fit into %d MiB", o.RequestKB, o.MemoryMB)
+	}
 	var err error
 	settings.Routes, err = o.routes()
 	return settings, err
--- a/pool.go
+++ b/pool.go
@@ -10,9 +10,6 @@
 	"quartzpoint/internal/workerapi"
 )
 
-// queuedKB is the memory that a queued request counts with.
-const queuedKB = defaultRequestKB / runningOverQueued
-
 // Outcomes of runs, in the words of the worker pool's wire.
 const (
 	outcomeSuccess = workerapi.OutcomeSucceeded
