--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -105,10 +105,12 @@
 	clear(c.requests)
 }
 
-// close ends the connection at once.
+// close ends the connection at once. That of a broken one was recorded as it broke.
 func (c *conn) close(reason string) {
-	c.frontend.server.Events().Record(events.ConnectionClosed, reason, slog.String("peer", c.transport.RemoteAddr().String()),
-		slog.Int("open", len(c.requests)), slog.Int("unread", c.out.Size()), slog.Duration("idle", c.frontend.server.Now()-c.activeAt))
+	if !c.broken {
+		c.frontend.server.Events().Record(events.ConnectionClosed, reason, slog.String("peer", c.transport.RemoteAddr().String()),
+			slog.Int("open", len(c.requests)), slog.Int("unread", c.out.Size()), slog.Duration("idle", c.frontend.server.Now()-c.activeAt))
+	}
 	if c.isHalfClosed() {
 		c.handleClosed()
 		return
--- a/internal/frontend/races_test.go
+++ b/internal/frontend/races_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"quartzpoint/internal/events"
 	"quartzpoint/internal/frame"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/testkit/fake"
@@ -102,6 +103,21 @@
 	assert.Equal(t, map[uint32]byte{0: 51, 1: 51, 2: 20}, codes)
 }
 
+// A connection was broken by its router, which does not close it. Its end stood in the log twice: as it broke, and as this side
+// closed it a second later.
+func TestEndOfABrokenConnectionIsRecordedOnce(t *testing.T) {
+	b := newBench(t, usual())
+	r := fake.Dial(t, b.Address())
+	r.Send(t, bytes.Repeat([]byte{0xff}, 100))
+	require.Eventually(t, func() bool {
+		open := make(chan int)
+		b.server.Submit(func() { open <- len(b.conns) })
+		return <-open == 0 && b.server.Events().Times(events.ConnectionClosed, "broken: length out of bounds") > 0
+	}, fake.WaitLimit, time.Millisecond)
+	assert.Equal(t, int64(1), b.server.Events().Times(events.ConnectionClosed, "broken: length out of bounds"))
+	assert.Zero(t, b.server.Events().Times(events.ConnectionClosed, "broken, and all on it answered"))
+}
+
 // Peers that do not read filled the share of memory that unread answers have, and the next one to be answered was cut
 // off for it, though it reads.
 func TestPeersThatDoNotReadCostNoOther(t *testing.T) {
