Configuration service: a repeat of an accepted change is not logged as accepted again

It says 'change was accepted before' now, also where the log finds the repeat. TestPropose fails before in its new line.

--- a/internal/configserve/configserve_test.go
+++ b/internal/configserve/configserve_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,7 @@
 	"quartzpoint/internal/peersync"
 	"quartzpoint/internal/raftlog"
 	"quartzpoint/internal/testkit/faultnet"
+	"quartzpoint/internal/testkit/harness"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -58,16 +60,17 @@
 	replica *Replica
 	log     *localLog
 	address string
+	logged  *harness.LogBuffer
 }
 
 func newMachine(t *testing.T) *controlMachine {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	m := &controlMachine{replica: NewReplica(), address: listener.Addr().String()}
+	m := &controlMachine{replica: NewReplica(), address: listener.Addr().String(), logged: &harness.LogBuffer{}}
 	m.log = &localLog{replica: m.replica}
 	m.log.leadership.Store(&raftlog.Leadership{Leader: "one", IsLeader: true})
-	server := &Server{Name: "one", SessionAddresses: map[string]string{}, Keys: keys, Replica: m.replica, Log: m.log, Logger: quiet()}
+	server := &Server{Name: "one", SessionAddresses: map[string]string{}, Keys: keys, Replica: m.replica, Log: m.log, Logger: slog.New(slog.NewTextHandler(m.logged, nil))}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ctx, listener) }()
@@ -205,6 +208,7 @@
 	change.ID = "once"
 	assert.Equal(t, uint64(1), m.accept(t, change))
 	assert.Equal(t, uint64(1), m.accept(t, change))
+	assert.Equal(t, 1, strings.Count(m.logged.String(), `msg="configuration: change accepted"`), "a repeat was logged as accepted again")
 	stale := deadline(2)
 	base := uint64(0)
 	stale.Base = &base
--- a/internal/configserve/replica.go
+++ b/internal/configserve/replica.go
@@ -38,8 +38,9 @@
 
 // Result is what applying an entry of the log returns. It is the same on every machine.
 type Result struct {
-	Version uint64
-	Err     error // a *configuration.ValidationError
+	Version  uint64
+	Repeated bool  // the change was accepted before, as Version
+	Err      error // a *configuration.ValidationError
 }
 
 // Apply implements raftlog.StateMachine. An entry is a configuration.Change as JSON; it returns a Result.
@@ -57,7 +58,7 @@
 		delete(r.acceptedAt, version-maxAcceptTimes)
 		r.notify()
 	}
-	return Result{Version: version, Err: err}
+	return Result{Version: version, Repeated: err == nil && version <= before, Err: err}
 }
 
 // Snapshot implements raftlog.StateMachine: it encodes the whole history.
--- a/internal/configserve/server.go
+++ b/internal/configserve/server.go
@@ -113,18 +113,23 @@
 		}
 		version, err = s.Replica.Validate(entry)
 	}
+	repeated := version > 0
 	if version == 0 && err == nil { // valid, and not accepted before
 		applied, proposeErr := s.Log.Propose(ctx, entry)
 		if proposeErr != nil {
 			return configwatch.ChangeResponse{Error: proposeErr.Error()}
 		}
 		result := applied.(Result) // of Replica.Apply
-		version, err = result.Version, result.Err
+		version, repeated, err = result.Version, result.Repeated, result.Err
 	}
 	var validationErr *configuration.ValidationError
 	if errors.As(err, &validationErr) {
 		return configwatch.ChangeResponse{Violations: validationErr.Violations}
 	}
-	s.Logger.Info("configuration: change accepted", "version", version)
+	if repeated { // by a client that did not get its answer
+		s.Logger.Info("configuration: change was accepted before", "version", version)
+	} else {
+		s.Logger.Info("configuration: change accepted", "version", version)
+	}
 	return configwatch.ChangeResponse{Version: version}
 }
