--- a/internal/configwatch/messages.go
+++ b/internal/configwatch/messages.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"quartzpoint/configuration"
+	"quartzpoint/internal/strictcbor"
 )
 
 // Bounds of messages, in bytes.
@@ -95,18 +96,12 @@
 	Reason    string        `cbor:"5,keyasint" json:"fault,omitempty"` // why it could not apply a later version
 }
 
+// maxArrayElements bounds the arrays of a message.
+const maxArrayElements = 1 << 13
+
 // decMode bounds the memory that a received message can make its reader allocate. The encoded documents and deltas
 // inside are decoded by package configuration, under its own bounds.
-var decMode = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
-		MaxNestedLevels: 6, MaxArrayElements: 1 << 13, MaxMapPairs: 64,
-	}.DecMode()
-	if err != nil {
-		panic(fmt.Errorf("cbor: %w", err)) // the options are constant
-	}
-	return mode
-}()
+var decMode = strictcbor.Decoding(maxArrayElements, false)
 
 // Encode encodes a message of this package.
 func Encode(message any) []byte {
