The configuration watch has ended before its store is closed

TestTaskIsWaitedFor holds the waiting; that the daemon's watch was not waited for is by reading, not by a run.

--- a/cmd/quartzpoint/process.go
+++ b/cmd/quartzpoint/process.go
@@ -122,8 +122,9 @@
 		p.peers.server.SetVoteHandler(p.leaseManager.HandleVote)
 		go p.leaseManager.Run(leaseCtx)
 	}
+	var watch *backgroundTask
 	if p.watcher != nil {
-		go p.watcher.Run(ctx)
+		watch = startTask(ctx, p.watcher.Run)
 	}
 	go p.reporter.Run(ctx, registration.ReportInterval)
 	go p.link.Run(ctx)
@@ -161,10 +162,14 @@
 		}
 		result <- err
 		releaseLeases() // first: this server must not act under them any more; others wait out what was granted
+		watch.stop()    // what it writes is on disk long before the store is closed
 		p.reporter.SetDraining()
 		p.server.Drain(time.Duration(stopWithin.Load()))
 	}()
 	p.server.Run()
+	if !watch.wait(watchStopTimeout) {
+		p.log.Warn("configuration: the watch had not ended at the stop", "waited", watchStopTimeout)
+	}
 	p.counters.Report()
 	return <-result
 }
