The in-flight limit does not grow by gauges that are older than a tenth of a second

Callers saw: in each hang of the worker pool 19 requests were started and aborted in the end (they may have run), where they could have been refused and gone elsewhere.

Cause: a round whose poll is not answered goes by the last gauges. Under their idle CPU the limit was raised every 100 ms while requests waited, up to all that the machine survives (limit=18, max_crowd=19.2 in the log), and by one at each calibration. Silence was read as health.

Rounds tell the age of their gauges now; past four ticks the limit only shrinks. TestLimitDoesNotGrowByOldGauges fails before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -88,7 +88,7 @@
 	c.beginDrain(r, w)
 	c.takeEvents(r, w)
 	if r.Gauges != nil {
-		c.tick(*r.Gauges, w)
+		c.tick(*r.Gauges, r.GaugesAge, w)
 	}
 	c.expireRequests(w)
 	c.ejectWhileFailing(w)
@@ -129,8 +129,9 @@
 }
 
 // tick does what is done at intervals: it charges time, calibrates the limits and moves the shed level.
-func (c *Controller) tick(gauges Gauges, w Executor) {
+func (c *Controller) tick(gauges Gauges, age time.Duration, w Executor) {
 	c.gauges = gauges
+	c.limit.blind = age > maxGaugesAge
 	c.otherRunnable = min(gauges.Runnable-c.inFlight().onCores, c.settings.Cores) // at most one request per core is read at a time
 	passed := (c.now - c.tickedAt).Seconds()
 	c.tickedAt = c.now
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -20,6 +20,9 @@
 	minLatencySamples   = 5    // ended runs that a recent mean stands on
 	latencyParts        = 4    // parts of recentRuns that are recent: two seconds
 
+	// maxGaugesAge is the age of the gauges past which they show nothing of the machine as it is.
+	maxGaugesAge = 4 * tickInterval
+
 	maxInFlightPerCore = 6.0 // requests
 	ticksPerLimitRaise = 4   // between raises while the CPU is under raiseBelowCPU
 )
@@ -29,6 +32,7 @@
 	value        float64 // requests
 	minimum      float64 // requests; the core count
 	backoffEvent bool    // one was seen since the last calibration
+	blind        bool    // the gauges are too old to show that there is none
 	calibratedAt time.Duration
 	busyRoutes   map[*routeStats]bool // whose runs ended lately: the only ones whose latency can have risen
 }
@@ -62,12 +66,14 @@
 	return now >= l.calibratedAt+calibrationPeriod
 }
 
-// calibrate moves the limit by what was noted since the last calibration.
+// calibrate moves the limit by what was noted since the last calibration. Without gauges nothing shows that no backoff event
+// came, so that the limit does not grow.
 func (l *inFlightLimit) calibrate(now time.Duration, maximum float64) {
 	l.calibratedAt = now
-	if l.backoffEvent {
+	switch {
+	case l.backoffEvent:
 		l.value *= backoffFactor
-	} else {
+	case !l.blind:
 		l.value++
 	}
 	l.backoffEvent = false
@@ -87,7 +93,7 @@
 	case c.limit.calibrationDue(c.now):
 		c.limit.calibrate(c.now, c.maxLimit())
 		c.tuneIdleTimeout(w)
-	case c.gauges.CPU < raiseBelowCPU && len(c.queue) > 0 && c.ticks%ticksPerLimitRaise == 0:
+	case !c.limit.blind && c.gauges.CPU < raiseBelowCPU && len(c.queue) > 0 && c.ticks%ticksPerLimitRaise == 0:
 		c.limit.raise(c.maxLimit())
 	}
 }
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -57,3 +57,22 @@
 		assert.InDelta(t, 5.4, b.maxLimit(), 0.01)
 	})
 }
+
+// The worker pool stood still, and its last gauges were taken for fresh: under an idle CPU of before the limit went up to all that the
+// machine survives, and as many requests were started into the hang.
+func TestLimitDoesNotGrowByOldGauges(t *testing.T) {
+	for _, age := range []time.Duration{0, maxGaugesAge + ms} {
+		b := newBench(nil)
+		var waiting []*Request
+		for range 30 {
+			waiting = append(waiting, b.request("waiting", 0))
+		}
+		b.round(Round{Arrived: waiting})
+		for range 20 {
+			b.at += tickInterval
+			b.round(Round{Gauges: &Gauges{CPU: 0.5, Runnable: 4}, GaugesAge: age})
+		}
+		b.limit.calibrate(b.at, 24)
+		assert.Equal(t, age == 0, b.limit.value > 4, "gauges of an age of %v, limit %v", age, b.limit.value)
+	}
+}
--- a/admission/round.go
+++ b/admission/round.go
@@ -13,7 +13,8 @@
 	RunsEnded        []Completion // and duplicates that were answered from their original, as Succeeded
 	Canceled         []*Request   // nobody waits for them any more
 	Arrived          []*Request
-	Gauges           *Gauges // set in the rounds that Executor.WakeAfter asked for
+	Gauges           *Gauges       // set in the rounds that Executor.WakeAfter asked for
+	GaugesAge        time.Duration // of the gauges; 0 for read in this round
 }
 
 // Reset empties a round for the next one. It keeps the memory of its lists, and lets go of their requests.
--- a/cmd/quartzpoint/recovery_test.go
+++ b/cmd/quartzpoint/recovery_test.go
@@ -45,6 +45,7 @@
 	result, err := harness.Run(daemon.Address, routes, load, 1)
 	assert.NoError(t, err)
 	assert.Zero(t, result.Unanswered+result.LateAnswers+result.DuplicateAnswers)
+	t.Logf("hang %t: answers by code %v", hang, result.Codes)
 	for from := hangUntil; from < hangUntil+recoverySpan; from += time.Second {
 		served = append(served, result.ServedBetween(from, from+time.Second))
 	}
--- a/internal/server/alarms.go
+++ b/internal/server/alarms.go
@@ -19,6 +19,7 @@
 	ready    bool          // gauges came for that round
 	answered uint64        // nonce of the last poll that was answered
 	gauges   admission.Gauges
+	readAt   time.Duration // when the gauges came, 0 before the first
 }
 
 // WakeAfter sets an alarm. The controller sets one whenever one fires; more would grow without end.
@@ -55,7 +56,7 @@
 	}
 	if s.polls.ready {
 		s.polls.nonce, s.polls.ready = 0, false
-		s.round.Gauges = &s.polls.gauges
+		s.round.Gauges, s.round.GaugesAge = &s.polls.gauges, now-s.polls.readAt
 		s.round.pending = true
 	}
 }
