Lint: errors of closing a store are looked at

The store's tests now want no error, and errSuspended where the directory can't be written to; the measurements return it. The stall of TestShutdownTellsThatTheStateIsNotStored stalls syncs alone, and fails behind them.

--- a/cmd/quartzpoint-bench/state_disk.go
+++ b/cmd/quartzpoint-bench/state_disk.go
@@ -63,7 +63,9 @@
 		return partResult{}, err
 	}
 	took := time.Since(start)
-	s.Close()
+	if err := s.Close(); err != nil {
+		return partResult{}, err
+	}
 	if len(recovered.Keys) != recoveredKeys {
 		return partResult{}, fmt.Errorf("%d of %d entries came back", len(recovered.Keys), recoveredKeys)
 	}
@@ -99,7 +101,9 @@
 		}()
 	}
 	all.Wait()
-	s.Close()
+	if err := s.Close(); err != nil {
+		return objective{}, err
+	}
 	fmt.Fprintf(table, "commit of %v: %d entries a second by %d callers, wait ms p50, p99, most\t%.1f\t%.1f\t%.1f\t\n",
 		interval, durable.Load(), commitCallers,
 		float64(waits.ValueAtQuantile(50))/1e3, float64(waits.ValueAtQuantile(99))/1e3, float64(waits.Max())/1e3)
@@ -117,6 +121,5 @@
 			waitDurable(s, mark)
 		}
 	}
-	s.Close()
-	return nil
+	return s.Close()
 }
--- a/cmd/quartzpoint-bench/state_restart.go
+++ b/cmd/quartzpoint-bench/state_restart.go
@@ -196,6 +196,5 @@
 		snapshot.Routes[i].Core.Age = min(snapshot.Routes[i].Core.Age, time.Second)
 	}
 	s.SaveEstimates(snapshot)
-	s.Close()
-	return nil
+	return s.Close()
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -71,12 +71,12 @@
 	s.RecordEnd("big", 6, time.Minute, true, make([]byte, maxResultBytes+1))
 	s.RecordStart("short", 7, time.Second)
 	s.SaveEstimates(numberedSnapshot(8))
-	s.Close()
+	assert.NoError(t, s.Close())
 
 	o.advance(10 * time.Second)
 	s, recovered, err = New(o.Options)
 	require.NoError(t, err)
-	defer s.Close()
+	defer func() { assert.NoError(t, s.Close()) }()
 	remaining := map[string]time.Duration{}
 	for _, n := range recovered.Keys {
 		remaining[n.Key] = n.ExpiresAt - recovered.ReadAt
@@ -95,7 +95,7 @@
 	o.CommitInterval = 20 * time.Millisecond
 	s, _, err := New(o.Options)
 	require.NoError(t, err)
-	defer s.Close()
+	defer func() { assert.NoError(t, s.Close()) }()
 	before := o.disk.Operations()
 	var mark uint64
 	for i := range 500 {
@@ -154,10 +154,10 @@
 			mark = s.RecordStart("after", 1, time.Hour)
 			eventually(t, "kept again", isDurable(s, mark))
 			assert.Equal(t, 1, lines.count("state directory works again"))
-			s.Close()
+			assert.NoError(t, s.Close())
 			s, recovered, err := New(o.Options)
 			require.NoError(t, err)
-			s.Close()
+			assert.NoError(t, s.Close())
 			var keys []string
 			for _, n := range recovered.Keys {
 				keys = append(keys, n.Key)
@@ -174,12 +174,12 @@
 	s, _, err := New(o.Options)
 	require.NoError(t, err)
 	s.RecordStart("before", 1, time.Hour)
-	s.Close()
+	assert.NoError(t, s.Close())
 
 	o.opened = faultdisk.ErrIO
 	s, recovered, err := New(o.Options)
 	require.NoError(t, err, "it serves without")
-	defer s.Close()
+	defer func() { assert.NoError(t, s.Close()) }()
 	assert.Empty(t, recovered.Keys)
 	s.RecordStart("new", 1, time.Hour)
 	o.disk.Set(func() { o.opened = nil })
@@ -197,7 +197,7 @@
 	require.NoError(t, err)
 	s.RecordStart("before", 1, time.Hour)
 	s.SaveEstimates(numberedSnapshot(1))
-	s.Close()
+	assert.NoError(t, s.Close())
 	for _, readOnly := range []bool{false, true} { // it opens but cannot be written to, or opens only read-only
 		o.disk.ReadOnly = true
 		o.OpenDir = func(openReadOnly bool) (datadir.Dir, error) {
@@ -211,7 +211,7 @@
 		assert.Len(t, recovered.Keys, 1)
 		assert.True(t, recovered.Estimates.HasFresh())
 		assert.Equal(t, uint64(math.MaxUint64), s.DurableMark())
-		s.Close()
+		assert.ErrorIs(t, s.Close(), errSuspended)
 	}
 }
 
@@ -243,7 +243,7 @@
 	assert.Positive(t, o.Counts.Times(countQueueFull))
 	once.Do(func() { close(hold) })
 	eventually(t, "kept", isDurable(s, s.lastMark))
-	s.Close()
+	assert.NoError(t, s.Close())
 }
 
 // However much is recorded, the directory stays within its size limit, and what has no room is not stored.
@@ -251,7 +251,7 @@
 	o := newTestOptions(faultdisk.New())
 	s, _, err := New(o.Options)
 	require.NoError(t, err)
-	defer s.Close()
+	defer func() { assert.NoError(t, s.Close()) }()
 	maxBytes := int64(0)
 	result := make([]byte, 30<<10)
 	for i := range 3000 {
@@ -279,7 +279,7 @@
 		eventually(t, "kept", isDurable(s, mark))
 		o.disk.Set(func() { o.disk.ReadOnly = true }) // nothing more of this process reaches it
 		after := o.disk.Crash(faultdisk.TornHalf{})
-		s.Close()
+		assert.NoError(t, s.Close())
 		o.disk = after
 		o.advance(time.Second)
 	}
@@ -299,7 +299,7 @@
 	_, _, err = New(options(state))
 	assert.ErrorIs(t, err, datadir.ErrInUse, "two processes")
 	assert.GreaterOrEqual(t, time.Since(began), lockTimeout, "one that leaves is waited for")
-	s.Close()
+	assert.NoError(t, s.Close())
 	files, err := os.ReadDir(state)
 	require.NoError(t, err)
 	for _, f := range files {
@@ -318,7 +318,7 @@
 	s, recovered, err := New(options(state))
 	require.NoError(t, err)
 	assert.Len(t, recovered.Keys, 1)
-	s.Close()
+	assert.NoError(t, s.Close())
 	raw, err := os.ReadFile(secret)
 	require.NoError(t, err)
 	assert.Equal(t, "not ours", string(raw))
@@ -344,12 +344,12 @@
 	s, _, err := New(o.Options)
 	require.NoError(t, err)
 	s.RecordStart("a", 1, time.Hour)
-	s.Close()
+	assert.NoError(t, s.Close())
 	o.Site = "south"
 	s, recovered, err := New(o.Options)
 	require.NoError(t, err)
 	assert.Empty(t, recovered.Keys, "another site's numbers are others")
-	s.Close()
+	assert.NoError(t, s.Close())
 
 	newer := appendFrame(nil, 0, 0, recovery.Header{Version: recovery.FormatVersion + 1, Content: recovery.KeyLogFile, Site: "south", Sequence: 900})
 	o.disk.Put(fileName(logPrefix, 900), newer)
@@ -358,7 +358,7 @@
 	o.disk.Put("notes.txt", []byte("the operators' own"))
 	s, _, err = New(o.Options)
 	require.NoError(t, err)
-	s.Close()
+	assert.NoError(t, s.Close())
 	quarantined := 0
 	for _, name := range o.disk.Names() {
 		if _, is := parseFileName(quarantinePrefix, name); is {
--- a/internal/store/stored_test.go
+++ b/internal/store/stored_test.go
@@ -89,7 +89,7 @@
 			dir := copied(t, name)
 			s, had, err := store.New(storedTerms(t, dir))
 			require.NoError(t, err)
-			s.Close()
+			assert.NoError(t, s.Close())
 			require.True(t, had.Estimates.HasFresh(), "the view fits the settings")
 			got := map[string]any{
 				"numbers": keyed(had.Keys), "unknown": had.UnservedKeys, "terms": fmt.Sprintf("%016x", had.Estimates.SettingsDigest),
@@ -103,7 +103,7 @@
 			// What is written anew is read as it was.
 			s, again, err := store.New(storedTerms(t, dir))
 			require.NoError(t, err)
-			s.Close()
+			assert.NoError(t, s.Close())
 			assert.Equal(t, keyed(had.Keys), keyed(again.Keys))
 			assert.Equal(t, had.UnservedKeys, again.UnservedKeys)
 			names, err := filepath.Glob(filepath.Join(dir, "aside-*"))
@@ -151,7 +151,7 @@
 		terms.Clock = func() recovery.Timestamp { return now }
 		s, had, err := store.New(terms)
 		require.NoError(t, err)
-		s.Close()
+		assert.NoError(t, s.Close())
 		got[name] = map[string]any{"numbers": keyed(had.Keys), "unknown": had.UnservedKeys, "fresh": had.Estimates.HasFresh()}
 	}
 	golden(t, "state-elsewhere.json", got)
--- a/state_test.go
+++ b/state_test.go
@@ -149,17 +149,16 @@
 // what this one had run.
 func TestShutdownTellsThatTheStateIsNotStored(t *testing.T) {
 	hold := make(chan struct{})
-	faults := map[string]func(kind string) error{
-		"every call fails": func(string) error { return os.ErrInvalid },
-		"syncs stall": func(kind string) error {
-			if kind == "sync" {
-				<-hold
-			}
+	defer close(hold)
+	failing := func(string) error { return os.ErrInvalid }
+	stalling := func(kind string) error {
+		if kind != "sync" {
 			return nil
-		},
+		}
+		<-hold
+		return os.ErrInvalid
 	}
-	defer close(hold)
-	for name, fault := range faults {
+	for name, fault := range map[string]func(kind string) error{"every call fails": failing, "syncs stall": stalling} {
 		t.Run(name, func(t *testing.T) {
 			disk := faultdisk.New()
 			g, err := New(stateOptions(stateOnDisk(disk)))
