Soak: nothing is sent behind the end of a connection that its sender has not seen

Traced: a request is counted as never answered only where its connection has not ended, and the reader records the end for all that is open in that moment. Between the sender's look and its entry of the request the reader may see the end: the entry comes behind it, the write goes into nothing, and no end is ever recorded for it. The server's log has no trace of the request, and has closed two idle connections while draining.

The sender enters a request only on a connection whose end was not seen.

--- a/internal/testkit/soak/checker.go
+++ b/internal/testkit/soak/checker.go
@@ -85,7 +85,8 @@
 	case r.ResetByClient, !r.Incarnation.KilledAt.IsZero():
 	case c.crossedConnectionEnd(r) && len(c.starts[r.ID]) == 0:
 	case r.ConnectionEnded.IsZero():
-		c.violate(1, "%s was never answered", c.describe(r))
+		c.violate(1, "%s was never answered; sent %v behind the notice, process seen to end %v behind that", c.describe(r),
+			since(r.Incarnation.NotifiedAt, r.SentAt), since(r.SentAt, r.Incarnation.EndedAt))
 	default:
 		c.violate(1, "%s was lost with its connection after %v, run %d times; sent %v behind the notice, process seen to end %v behind that",
 			c.describe(r), r.ConnectionEnded.Sub(r.SentAt), len(c.starts[r.ID]), since(r.Incarnation.NotifiedAt, r.SentAt), since(r.SentAt, r.Incarnation.EndedAt))
--- a/internal/testkit/soak/client.go
+++ b/internal/testkit/soak/client.go
@@ -146,11 +146,10 @@
 	if r.Key != "" {
 		fields = append(fields, "dedupe", r.Key)
 	}
-	c.mu.Lock()
-	c.stream++
-	stream := c.stream
-	c.open[stream] = r
-	c.mu.Unlock()
+	stream, open := c.begin(r)
+	if !open {
+		return
+	}
 	// Repeats of a key must have the same body.
 	body := binary.BigEndian.AppendUint64(nil, uint64(max(work.Microseconds(), 1)))
 	if r.Key != "" {
@@ -178,6 +177,18 @@
 	}
 }
 
+// begin opens a stream for a request. open is false where the connection has ended: nobody would record what becomes of it.
+func (c *connection) begin(r *Request) (stream uint32, open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0, false
+	}
+	c.stream++
+	c.open[c.stream] = r
+	return c.stream, true
+}
+
 // resetBehind ends a connection with a reset, after which no answer is owed on it.
 func (s *sender) resetBehind(c *connection) {
 	c.mu.Lock()
