A draining server looks at its connections every 5 ms, so none keeps it to the kill

Cause: connections that were asked to go are closed 0.3 s later, 0.1 s before the stop where the grace is long, and were looked at every 0.1 s: by chance of the phase behind the forced end. While draining they are looked at every 5 ms, as often as the drain itself.

--- a/cmd/quartzpoint/drain_test.go
+++ b/cmd/quartzpoint/drain_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// A router keeps its connection open and says nothing. It is closed 0.1 s before the stop; connections were looked at every 0.1 s
+// only, so that the process stayed to the last moment in half of the drains, in a race with the kill.
+func TestSilentConnectionsDoNotKeepTheProcess(t *testing.T) {
+	for stop := int64(700); stop < 800; stop += 20 { // at each phase of those looks; the grace reaches to 0.4 s before each
+		t.Run(fmt.Sprint(stop), func(t *testing.T) {
+			t.Parallel()
+			p := prepare(t, builds["release"])
+			stopsAt(t, p, stop)
+			require.NoError(t, p.cmd.Start())
+			p.endWith(t)
+			p.pool.Ready()
+			p.logged(t, "pool link bound")
+			router := fake.Dial(t, p.address)
+			router.Send(t, fake.Frame(20, 1, "", "e2e", "0"))
+			assert.Equal(t, byte(21), router.Next(t).Type)
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+			assert.Zero(t, p.gone())
+			p.logged(t, `msg="drain complete" connections=0`)
+		})
+	}
+}
+
 // stopsAt has a program's configuration state a time from the notice to the stop, before its start.
 func stopsAt(t *testing.T, p *program, ms int64) {
 	raw, err := os.ReadFile(p.path)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -121,11 +121,20 @@
 	clear(f.unflushed[len(left):])
 	f.unflushed = left
 	f.shutListener()
-	if now := f.server.Now(); now >= f.sweptAt+sweepPeriod {
+	f.sweepWhenDue(f.server.Now())
+	return len(f.unflushed) == 0
+}
+
+// sweepWhenDue sweeps once in a period.
+func (f *Frontend) sweepWhenDue(now time.Duration) {
+	period := sweepPeriod
+	if f.draining {
+		period = drainSweepPeriod
+	}
+	if now >= f.sweptAt+period {
 		f.sweptAt = now
 		f.sweep(now)
 	}
-	return len(f.unflushed) == 0
 }
 
 // cutOffLargestQueue cuts off the peer with the most unread bytes, as one that reads has next to none.
--- a/internal/frontend/sweep.go
+++ b/internal/frontend/sweep.go
@@ -4,6 +4,7 @@
 
 const (
 	sweepPeriod       = 100 * time.Millisecond
+	drainSweepPeriod  = 5 * time.Millisecond   // the same while the server drains: its last 0.1 s must not pass between two
 	closeTimeout      = time.Second            // for a router to close a connection that is drained
 	drainCloseTimeout = 300 * time.Millisecond // the same while the server drains: what stays must not hold up the end
 	unreadTimeout     = 10 * time.Second       // for a router to read on before its answers are dropped
