The log says which backoff event reduced the in-flight limit

The controller keeps the kind of the first backoff event since the last calibration in place of a flag, and the event loop logs each reduction with its cause, the gauges, and the limit before and behind it; two lines a second at most, once a calibration period in practice. Why a call to the dependency is delayed, and which voter did not answer, are still not logged.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -27,12 +27,38 @@
 	ticksPerLimitRaise = 4   // between raises while the CPU is under raiseBelowCPU
 )
 
+// Backoff is a kind of backoff event.
+type Backoff int
+
+// The kinds of backoff events.
+const (
+	BackoffNone Backoff = iota
+	BackoffCPU
+	BackoffMemory
+	BackoffLatency
+)
+
+var backoffTexts = map[Backoff]string{
+	BackoffNone: "none", BackoffCPU: "the cores are busy", BackoffMemory: "memory is nearly used up",
+	BackoffLatency: "runs take longer than usual",
+}
+
+// String is the kind as logs have it.
+func (b Backoff) String() string { return backoffTexts[b] }
+
+// LimitReduction is a reduction of the in-flight limit, for logs.
+type LimitReduction struct {
+	Cause    Backoff // the first that was seen
+	From, To float64 // requests
+}
+
 // inFlightLimit bounds the requests in flight: on the cores, at calls and waiting for them.
 type inFlightLimit struct {
 	value        float64 // requests
 	minimum      float64 // requests; the core count
-	backoffEvent bool    // one was seen since the last calibration
-	blind        bool    // the gauges are too old to show that there is none
+	backoff      Backoff // seen since the last calibration
+	reduced      *LimitReduction
+	blind        bool // the gauges are too old to show that there is none
 	calibratedAt time.Duration
 	busyRoutes   map[*routeStats]bool // whose runs ended lately: the only ones whose latency can have risen
 }
@@ -44,8 +70,12 @@
 
 // noteGauges notes a backoff event by CPU or memory.
 func (l *inFlightLimit) noteGauges(g Gauges) {
-	if g.CPU >= cpuSoftLimit || g.Memory >= memorySoftLimit {
-		l.backoffEvent = true
+	switch {
+	case l.backoff != BackoffNone:
+	case g.CPU >= cpuSoftLimit:
+		l.backoff = BackoffCPU
+	case g.Memory >= memorySoftLimit:
+		l.backoff = BackoffMemory
 	}
 }
 
@@ -55,8 +85,8 @@
 		recent := runTotalsOf(route.recentRuns.recent(now, latencyParts))
 		if recent.ended == 0 {
 			delete(l.busyRoutes, route)
-		} else if recent.ended >= minLatencySamples && recent.latency/recent.ended > latencyBackoffRatio*route.latency.mean {
-			l.backoffEvent = true
+		} else if recent.ended >= minLatencySamples && recent.latency/recent.ended > latencyBackoffRatio*route.latency.mean && l.backoff == BackoffNone {
+			l.backoff = BackoffLatency
 		}
 	}
 }
@@ -70,14 +100,25 @@
 // came, so that the limit does not grow.
 func (l *inFlightLimit) calibrate(now time.Duration, maximum float64) {
 	l.calibratedAt = now
+	before, cause := l.value, l.backoff
 	switch {
-	case l.backoffEvent:
+	case cause != BackoffNone:
 		l.value *= backoffFactor
 	case !l.blind:
 		l.value++
 	}
-	l.backoffEvent = false
+	l.backoff = BackoffNone
 	l.value = max(min(l.value, maximum), l.minimum)
+	if cause != BackoffNone && l.value < before {
+		l.reduced = &LimitReduction{Cause: cause, From: before, To: l.value}
+	}
+}
+
+// TakeLimitReduction is the reduction of the in-flight limit in the last round, nil where there was none.
+func (c *Controller) TakeLimitReduction() *LimitReduction {
+	reduced := c.limit.reduced
+	c.limit.reduced = nil
+	return reduced
 }
 
 // raise adds one to the limit between calibrations. Where memory puts the maximum under the present value it takes the
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -14,12 +14,13 @@
 		before float64
 		gauges Gauges
 		after  float64
+		logged *LimitReduction
 	}{
-		{"quiet period adds one", 8, Gauges{CPU: 0.8}, 9},
-		{"CPU at its soft limit cuts", 8, Gauges{CPU: 0.9}, 6},
-		{"memory at its soft limit cuts", 8, Gauges{CPU: 0.8, Memory: 0.75}, 6},
-		{"never under the cores", 5, Gauges{CPU: 0.95}, 4},
-		{"never over the ceiling", 24, Gauges{CPU: 0.8}, 24},
+		{"quiet period adds one", 8, Gauges{CPU: 0.8}, 9, nil},
+		{"CPU at its soft limit cuts", 8, Gauges{CPU: 0.9}, 6, &LimitReduction{BackoffCPU, 8, 6}},
+		{"memory at its soft limit cuts", 8, Gauges{CPU: 0.8, Memory: 0.75}, 6, &LimitReduction{BackoffMemory, 8, 6}},
+		{"never under the cores", 5, Gauges{CPU: 0.95}, 4, &LimitReduction{BackoffCPU, 5, 4}},
+		{"never over the ceiling", 24, Gauges{CPU: 0.8}, 24, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -27,6 +28,8 @@
 			b.limit.value = c.before
 			b.pass(calibrationPeriod, c.gauges)
 			assert.Equal(t, c.after, b.limit.value)
+			assert.Equal(t, c.logged, b.TakeLimitReduction())
+			assert.Nil(t, b.TakeLimitReduction(), "told once")
 		})
 	}
 	t.Run("latency half over its usual cuts", func(t *testing.T) {
--- a/admission/table_test.go
+++ b/admission/table_test.go
@@ -63,9 +63,9 @@
 	for range 8 {
 		ends(time.Second)
 	}
-	b.limit.backoffEvent = false
+	b.limit.backoff = BackoffNone
 	b.pass(tickInterval, Gauges{})
-	assert.True(t, b.limit.backoffEvent, "latency has risen")
+	assert.Equal(t, BackoffLatency, b.limit.backoff, "latency has risen")
 }
 
 // A tenant that has asked for nothing costs no more than its rate, and one past the table is nobody's.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -25,17 +25,18 @@
 
 // The kinds of events.
 const (
-	RequestRejected    Kind = "request rejected"    // answered as never run
-	RequestAborted     Kind = "request aborted"     // answered without a result after it may have run
-	RunOverdue         Kind = "run overdue"         // not reported to have ended, or to have begun, in its time
-	RunEndedLate       Kind = "run ended late"      // the end of one that was overdue
-	RunReleased        Kind = "run released"        // counted as ended without a report of its end
-	RunRetried         Kind = "run retried"         // sent to the worker pool again
-	CallRetried        Kind = "call retried"        // made to the dependency again
-	ConnectionClosed   Kind = "connection closed"   // by this side
-	ConnectionDraining Kind = "connection draining" // asked to send no new request
-	Overcommitted      Kind = "overcommitted"       // the workers' gauges exceed what this process has running
-	SlowRound          Kind = "slow round"          // a turn of the event loop kept answers waiting
+	RequestRejected    Kind = "request rejected"        // answered as never run
+	RequestAborted     Kind = "request aborted"         // answered without a result after it may have run
+	RunOverdue         Kind = "run overdue"             // not reported to have ended, or to have begun, in its time
+	RunEndedLate       Kind = "run ended late"          // the end of one that was overdue
+	RunReleased        Kind = "run released"            // counted as ended without a report of its end
+	RunRetried         Kind = "run retried"             // sent to the worker pool again
+	CallRetried        Kind = "call retried"            // made to the dependency again
+	ConnectionClosed   Kind = "connection closed"       // by this side
+	ConnectionDraining Kind = "connection draining"     // asked to send no new request
+	Overcommitted      Kind = "overcommitted"           // the workers' gauges exceed what this process has running
+	LimitReduced       Kind = "in-flight limit reduced" // by a backoff event
+	SlowRound          Kind = "slow round"              // a turn of the event loop kept answers waiting
 )
 
 // Log writes events to a logger. It is safe for concurrent use.
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -196,5 +196,9 @@
 		s.endRun(request, admission.NeverStarted, 0, nil)
 	}
 	s.round.notStarted = s.round.notStarted[:0]
+	if reduced := s.controller.TakeLimitReduction(); reduced != nil {
+		s.events.Record(events.LimitReduced, reduced.Cause.String(), slog.Float64("from", reduced.From), slog.Float64("to", reduced.To),
+			slog.Float64("cpu", s.polls.gauges.CPU), slog.Float64("memory", s.polls.gauges.Memory))
+	}
 	s.publishEstimates(now)
 }
