--- /dev/null
+++ b/internal/testkit/soak/inject.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"quartzpoint/internal/testkit/faultnet"
+	"quartzpoint/internal/testkit/harness"
+)
+
+const (
+	restartDelay        = 150 * time.Millisecond // between two processes of a server
+	linkCutInterval     = 60 * time.Millisecond
+	reloadInterval      = 30 * time.Millisecond
+	garbageInterval     = 10 * time.Millisecond
+	maxSignalInterval   = 250 * time.Millisecond
+	idleConnectionsTime = 2 * time.Second
+)
+
+// inject carries out a fault to its end. A fault of a server without a running process is skipped.
+func (p *runner) inject(ctx context.Context, f Fault, rng *rand.Rand) error {
+	s := p.slots[f.Server]
+	daemon, proxy, incarnation := s.process()
+	if incarnation == nil {
+		return nil
+	}
+	until := time.Now().Add(f.Duration)
+	switch f.Kind {
+	case Hang:
+		daemon.Workers.SetHung(true)
+		sleep(ctx, f.Duration)
+		daemon.Workers.SetHung(false)
+	case Slow:
+		daemon.Workers.Update(func(m *harness.Machine) { m.Speed = p.plan.Machine.Speed / f.Size })
+		sleep(ctx, f.Duration)
+		daemon.Workers.Update(func(m *harness.Machine) { m.Speed = p.plan.Machine.Speed })
+	case CutLink:
+		for time.Now().Before(until) {
+			proxy.Cut()
+			proxy.Heal()
+			sleep(ctx, linkCutInterval)
+		}
+	case StallLink:
+		proxy.Stall(faultnet.Up)
+		sleep(ctx, f.Duration/4)
+		proxy.Cut()
+		proxy.Heal()
+	case PauseServer:
+		return p.pause(ctx, s, f.Duration)
+	case Kill:
+		return p.replace(ctx, s, p.kill)
+	case GracefulRestart:
+		return p.replace(ctx, s, p.shutdown)
+	case Reload:
+		for time.Now().Before(until) {
+			if daemon.Signal(syscall.SIGHUP) != nil {
+				return nil // it has ended meanwhile
+			}
+			sleep(ctx, reloadInterval)
+		}
+	case SlowCalls:
+		p.dependency.SetSlowFactor(f.Size)
+		sleep(ctx, f.Duration)
+		p.dependency.SetSlowFactor(1)
+	case UnresponsiveCalls:
+		p.dependency.SetUnresponsive(true)
+		sleep(ctx, f.Duration)
+		p.dependency.SetUnresponsive(false)
+	case IdleConnections:
+		openIdleConnections(ctx, daemon.Address, int(f.Size))
+	case SignalSeries:
+		return p.replace(ctx, s, func(s *slot) error { return p.shutdownUnderSignals(s, rng) })
+	case Burst:
+		p.burst(s, int(f.Size), rng)
+	case Garbage:
+		for time.Now().Before(until) {
+			sendGarbage(daemon.Address, rng)
+			sleep(ctx, garbageInterval)
+		}
+	}
+	return nil
+}
+
+// pause stops a process for a span. Its pool continues.
+func (p *runner) pause(ctx context.Context, s *slot, span time.Duration) error {
+	if !s.replacing.TryLock() {
+		return nil
+	}
+	defer s.replacing.Unlock()
+	daemon, _, incarnation := s.process()
+	if incarnation == nil {
+		return nil
+	}
+	from := time.Now()
+	if err := daemon.Signal(syscall.SIGSTOP); err != nil {
+		return fmt.Errorf("stopping server %d: %w", s.number, err)
+	}
+	sleep(ctx, span)
+	err := daemon.Signal(syscall.SIGCONT)
+	p.history.update(func() { incarnation.Paused = append(incarnation.Paused, Span{from, time.Now()}) })
+	return err
+}
+
+// replace ends the process of a slot by end, and starts the next.
+func (p *runner) replace(ctx context.Context, s *slot, end func(*slot) error) error {
+	if !s.replacing.TryLock() {
+		return nil
+	}
+	defer s.replacing.Unlock()
+	if _, _, incarnation := s.process(); incarnation == nil {
+		return nil
+	}
+	if err := end(s); err != nil {
+		return err
+	}
+	sleep(ctx, restartDelay)
+	return p.start(s)
+}
+
+// shutdownUnderSignals shuts a process down amid further signals: SIGHUP before the notice, then SIGHUP and SIGTERM in turn
+// until the process is gone.
+func (p *runner) shutdownUnderSignals(s *slot, rng *rand.Rand) error {
+	daemon, _, _ := s.process()
+	for range rng.Intn(4) {
+		_ = daemon.Signal(syscall.SIGHUP)
+	}
+	ended := make(chan struct{})
+	var signals sync.WaitGroup
+	signals.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(between(rng, 0, maxSignalInterval)):
+			}
+			_ = daemon.Signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[n%2]) // an error: it has ended
+		}
+	})
+	err := p.shutdown(s)
+	close(ended)
+	signals.Wait()
+	return err
+}
+
+// burst sends burstRequests on each of so many connections at once, and waits until they are answered or past their
+// deadlines.
+func (p *runner) burst(s *slot, connections int, rng *rand.Rand) {
+	var senders sync.WaitGroup
+	for range connections {
+		burst := newSender(p.history, s, p.nextSender(), rng.Int63())
+		burst.slow = false
+		senders.Go(func() {
+			defer burst.readers.Wait()
+			c := burst.dial()
+			if c == nil {
+				return
+			}
+			for range burstRequests {
+				burst.send(c)
+			}
+			burst.closeWhenAnswered(c)
+		})
+	}
+	senders.Wait()
+}
+
+// openIdleConnections opens connections, sends nothing and closes them after idleConnectionsTime.
+func openIdleConnections(ctx context.Context, address string, count int) {
+	var open []net.Conn
+	for range count {
+		if c, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+			open = append(open, c)
+		}
+	}
+	sleep(ctx, idleConnectionsTime)
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// sendGarbage is one bad client. It sends no frame, a frame that is too long, a part of a request or an invalid request.
+func sendGarbage(address string, rng *rand.Rand) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	request := harness.Frame(harness.FrameRequest, 1, "body", "op", "class-0", "call", fmt.Sprintf("%016x", rng.Uint64()), "ttl", "-1")
+	messages := [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), {0xff, 0xff, 0xff, 0xff, 10}, request[:1+rng.Intn(len(request)-1)], request}
+	_, _ = c.Write(messages[rng.Intn(len(messages))])
+}
