--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 )
 
 var cases = map[string]func(*world) (broken bool){}
@@ -23,7 +24,10 @@
 	func() {
 		defer func() {
 			if failure := recover(); failure != nil {
-				w.note("the case could not run: %v", failure)
+				w.verdict("the case could not run: %v", failure)
+				for _, p := range w.procs {
+					w.keepLog(p, regexp.MustCompile(`.`))
+				}
 			}
 			w.close()
 		}()
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -94,6 +94,8 @@
 				p.notify(`"verb":"finished","task":%q,"outcome":"success","spent":%d,"bytes":%s`, task, p.runTime.Milliseconds(), result)
 			}
 		})
+	case "suspend": // the cases' sites allow no command that stops a run, or need none
+		fmt.Fprintf(link, `{"verb":"unknown","outcome":"suspend","task":%q}`+"\n", task)
 	case "poll":
 		n := len(p.running)
 		fmt.Fprintf(link, `{"verb":"polled","nonce":%q,"readings":[%.3f,%d,%.4f,3]}`+"\n", nonce, min(1, float64(n)/2), n, min(1, float64(n)*0.02))
