--- a/review/standin/applyid.go
+++ b/review/standin/applyid.go
@@ -140,7 +140,7 @@
 
 	p := w.startPool(20 * time.Millisecond)
 	listen := freeAddress()
-	config := w.platformFile("n1", listen, p.address, w.startMembership(), pickSettings)
+	config := w.platformFile("n1", listen, p.address, w.startMembership(), siteSettings)
 	section := fmt.Sprintf("[configuration]\nzone = \"z0\"\n")
 	for i, address := range c.sessions {
 		section += fmt.Sprintf("[[configuration.machine]]\nzone = \"z%d\"\naddress = %q\n", i, address)
