--- a/review/standin/applyid.go
+++ b/review/standin/applyid.go
@@ -71,6 +71,26 @@
 	return strings.TrimSpace(out.String()), code
 }
 
+// apply applies a change, and returns the version that is printed.
+func (c *configCluster) apply(file, change string, more ...string) (version string, code int) {
+	return c.quartzconfig(change, append([]string{"apply", "--config", file, "-"}, more...)...)
+}
+
+// startAppServer starts an app server that follows the service. inForce waits until it has a version in force.
+func (c *configCluster) startAppServer(p *pool) (listen string, inForce func(version string)) {
+	w := c.w
+	listen = freeAddress()
+	config := w.platformFile("n1", listen, p.address, w.startMembership(), siteSettings)
+	section := "[configuration]\nzone = \"z0\"\n"
+	for i, address := range c.sessions {
+		section += fmt.Sprintf("[[configuration.machine]]\nzone = \"z%d\"\naddress = %q\n", i, address)
+	}
+	server := w.start("n1", "trap '' HUP; exec bin/quartzpoint serve --config "+w.write("n1.toml", section), "EDGE_CONFIG="+config, "EDGE_NAME=n1", "EDGE_LISTEN="+listen)
+	return listen, func(version string) {
+		waitFor("version "+version+" in force", 20*time.Second, func() bool { return server.logHas(`in force" version=` + version + `\b`) })
+	}
+}
+
 // leader returns the index of the leader.
 func (c *configCluster) leader() (leader int) {
 	waitFor("a leader", 20*time.Second, func() bool {
@@ -127,11 +147,8 @@
 // program asks for.
 func applyIDCase(w *world) (broken bool) {
 	c := w.startConfigCluster()
-	apply := func(file, change string, more ...string) (string, int) {
-		return c.quartzconfig(change, append([]string{"apply", "--config", file, "-"}, more...)...)
-	}
 	leader := c.leader()
-	out, code := apply(c.file, `{"routes": {"order": {"goal-time": 900000, "deadline": 3000000, "gain": 4, "idempotency": "fragile"}},
+	out, code := c.apply(c.file, `{"routes": {"order": {"goal-time": 900000, "deadline": 3000000, "gain": 4, "idempotency": "fragile"}},
  "tenants": {"north": {"quota-rps": 100}}}`)
 	w.note("operator: first tables: version %s, exit code %d", out, code)
 	if code != 0 {
@@ -139,16 +156,7 @@
 	}
 
 	p := w.startPool(20 * time.Millisecond)
-	listen := freeAddress()
-	config := w.platformFile("n1", listen, p.address, w.startMembership(), siteSettings)
-	section := fmt.Sprintf("[configuration]\nzone = \"z0\"\n")
-	for i, address := range c.sessions {
-		section += fmt.Sprintf("[[configuration.machine]]\nzone = \"z%d\"\naddress = %q\n", i, address)
-	}
-	server := w.start("n1", "trap '' HUP; exec bin/quartzpoint serve --config "+w.write("n1.toml", section), "EDGE_CONFIG="+config, "EDGE_NAME=n1", "EDGE_LISTEN="+listen)
-	inForce := func(version string) {
-		waitFor("version "+version+" in force", 20*time.Second, func() bool { return server.logHas(`in force" version=` + version + `\b`) })
-	}
+	listen, inForce := c.startAppServer(p)
 	inForce(out)
 
 	// The change, through a network that loses its answer.
@@ -161,7 +169,7 @@
 	file := w.write("far.toml", c.machines(near, []int{leader, (leader + 1) % 3, (leader + 2) % 3}))
 	change := `{"routes": {"promo": {"goal-time": 900000, "deadline": 3000000, "gain": 1, "idempotency": "retryable"}}}`
 	const id = "promo-2026-12"
-	out, code = apply(file, change, "--id", id, "--wait", "3s")
+	out, code = c.apply(file, change, "--id", id, "--wait", "3s")
 	w.note("operator: route promo, id %s: %q, exit code %d", id, out, code)
 	lost := code == 2
 	if code != 0 && code != 2 || lost != w.trouble {
@@ -170,7 +178,7 @@
 	waitFor("route promo", 10*time.Second, func() bool { return w.ask(listen, "promo") == 20 })
 	w.note("router: a request of promo is served")
 
-	out, code = apply(c.file, `{"routes": {"promo": null}}`)
+	out, code = c.apply(c.file, `{"routes": {"promo": null}}`)
 	w.note("operator: promo is removed: version %s, exit code %d", out, code)
 	inForce(out)
 	before := w.ask(listen, "promo")
@@ -181,14 +189,14 @@
 	for range appliers {
 		done.Go(func() {
 			for i := next.Add(1); i <= otherChanges; i = next.Add(1) {
-				if out, code := apply(c.file, fmt.Sprintf(`{"tenants": {"tenant-%d": {"quota-rps": %d}}}`, i%40, i)); code != 0 {
+				if out, code := c.apply(c.file, fmt.Sprintf(`{"tenants": {"tenant-%d": {"quota-rps": %d}}}`, i%40, i)); code != 0 {
 					w.note("operator: another change: %s, exit code %d", out, code)
 				}
 			}
 		})
 	}
 	done.Wait()
-	out, _ = apply(c.file, `{"tenants": {"north": {"quota-rps": 120}}}`)
+	out, _ = c.apply(c.file, `{"tenants": {"north": {"quota-rps": 120}}}`)
 	last, err := strconv.Atoi(out)
 	must(err)
 	w.note("operator: %d other changes are accepted, version %d", otherChanges, last)
@@ -196,7 +204,7 @@
 
 	version := 0
 	if lost {
-		out, code = apply(c.file, change, "--id", id)
+		out, code = c.apply(c.file, change, "--id", id)
 		version, _ = strconv.Atoi(out)
 		w.note("operator: route promo again under id %s: version %s, exit code %d", id, out, code)
 		inForce(strconv.Itoa(max(version, last)))
