Review case 2: bad clients drive the server over its memory

Need: an independent review. The bytes read ahead are bounded for a connection and not for all of them.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 RUN=$(sed -n "s/^run = \"\(.*\)\"$/\1/p" "$ROOT/deploy/balancer.toml")
 export ROOT RUN
 [ -x "$ROOT/review/bin/standin" ] && [ -x "$ROOT/bin/quartzpoint" ] && [ -n "$RUN" ] || exit 2
-exec timeout -k 5 110 "$ROOT/review/bin/standin" drain "$folder/record.txt"
+exec timeout -k 5 110 "$ROOT/review/bin/standin" flood "$folder/record.txt"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,5 +4,5 @@
 ROOT=$(cd "$folder/../.." && pwd)
 RUN=$(sed -n "s/^run = \"\(.*\)\"$/\1/p" "$ROOT/deploy/balancer.toml")
 export ROOT RUN
-[ -x "$ROOT/review/bin/standin" ] && [ -x "$ROOT/bin/quartzpoint" ] && [ -x "$ROOT/bin/quartzconfig" ] && [ -n "$RUN" ] || exit 2
-exec timeout -k 5 110 "$ROOT/review/bin/standin" retype "$folder/record.txt"
+[ -x "$ROOT/review/bin/standin" ] && [ -x "$ROOT/bin/quartzpoint" ] && [ -n "$RUN" ] || exit 2
+exec timeout -k 5 110 "$ROOT/review/bin/standin" drain "$folder/record.txt"
