Requests without cores to plan on wait for their deadline on every processor

Cause: schedule divided the planned work by 0 cores and converted the infinity or NaN into a Duration, which Go leaves to the processor. x86-64 gives the lowest Duration, so that nothing was ever too late; arm64 gives 0 for a NaN. Change: the plan says that it can't tell when a request starts without cores, and sheds none for time.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Packages that contain decision logic. They must not do I/O or read a clock; lint checks that they import no other
 # package of this module, and none of net, os, syscall and log.
-DECIDES = ./admission ./estimate ./budget ./recovery ./emulator ./rulecheck ./scenario ./baseline ./classpool ./lease ./configuration ./reconcile ./wallclock
+DECIDES = ./admission ./estimate ./budget ./recovery ./emulator ./rulecheck ./scenario ./baseline ./classpool ./lease ./configuration ./reconcile ./wallclock ./saturate
 
 # Builds as deploy/balancer.toml does: linked against the C library, which the fleet bench requires.
 build:
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"quartzpoint/saturate"
+)
 
 const (
 	// plannedWaitShare is the maximum planned wait of a request, as a fraction of the time for which it could wait.
@@ -77,7 +81,7 @@
 	request.onTrial = false
 	for {
 		start, latest := p.schedule(request, work)
-		if start <= latest {
+		if start <= latest || !p.hasCores() {
 			break
 		}
 		if p.keepForTrial(request) {
@@ -113,11 +117,18 @@
 	return true
 }
 
+// hasCores reports whether there are cores to plan on. Without any the plan can't tell when a request would start, so
+// none is shed for want of time; requests wait until their deadline.
+func (p *queuePlan) hasCores() bool { return p.cores > 0 }
+
 // schedule returns when the next request to be planned would start, and when it has to start at the latest. It also
 // sets the request's plannedLate.
 func (p *queuePlan) schedule(request *Request, work time.Duration) (start, latest time.Duration) {
 	c := p.controller
-	start = c.now + time.Duration(float64(p.workAhead)/p.cores)
+	start = c.now
+	if p.hasCores() {
+		start += saturate.Nanoseconds(float64(p.workAhead) / p.cores)
+	}
 	wait, run := request.Route.CallWait, time.Duration(medianToMean*float64(work))
 	if request.Route.CallsDependency {
 		wait = max(wait, p.callWait)
