Convert numbers to durations and counts alike on every processor

What callers saw: nothing on x86-64 as far as known; on arm64 other decisions for the same numbers. Found by listing, with the type checker, every conversion of a float to an integer outside tests (71): those whose operand can be a NaN, an infinity or out of range are converted by package saturate now. Lists have at most 262,144 items now, as the configuration service has. Without a test of their own: work by hints, call waits, timeouts of budgeted calls, estimates' ages, the emulator's load. Left as they are: counts and products with a factor of at most 1, numbers bounded where they are read.

--- a/admission/callcapacity.go
+++ b/admission/callcapacity.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"time"
+
+	"quartzpoint/saturate"
 )
 
 // The capacity for calls limits how many calls to the shared dependency this server may have in progress. The server's
@@ -140,7 +142,7 @@
 // callTime returns the mean time of the latest calls, at least peerCallSeconds.
 func (c *Controller) callTime() time.Duration {
 	recent := c.recentCalls(callOutcomeParts)
-	return time.Duration(max(recent.seconds/max(recent.returned, 1), c.calls.peerCallSeconds()) * float64(time.Second))
+	return saturate.Seconds(max(recent.seconds/max(recent.returned, 1), c.calls.peerCallSeconds()))
 }
 
 // calibrateCalls moves the capacity like the in-flight limit. While calls wait for capacity and return as usual, it grows
@@ -168,5 +170,5 @@
 		return 0
 	}
 	callTime := c.callTime()
-	return callTime + time.Duration(waiting/max(minCallSlots, c.calls.capacity)*float64(callTime))
+	return callTime + saturate.Nanoseconds(waiting/max(minCallSlots, c.calls.capacity)*float64(callTime))
 }
--- a/admission/calls.go
+++ b/admission/calls.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"quartzpoint/saturate"
 )
 
 const (
@@ -63,7 +65,7 @@
 	usual := max(c.calls.seconds.mean, c.calls.peerCallSeconds(), tickInterval.Seconds())
 	wait := usual * callBackoff(request)
 	wait *= 0.5 + c.random.Float64()
-	request.callNotBefore = c.now + time.Duration(wait*float64(time.Second))
+	request.callNotBefore = c.now + saturate.Seconds(wait)
 }
 
 // callBackoff returns the backoff factor of the request's call. It doubles with each attempt that did not succeed, up
@@ -83,7 +85,7 @@
 		if request.answered {
 			continue // its run ends without a call
 		}
-		rest := time.Duration(slowdown * float64(c.remainingWork(request, minCallWorkDivisor)))
+		rest := saturate.Nanoseconds(slowdown * float64(c.remainingWork(request, minCallWorkDivisor)))
 		switch {
 		case c.skipsCall(request, rest, float64(ahead), inProgress):
 			c.enterPhase(request, running)
@@ -132,7 +134,7 @@
 	calls := &c.calls
 	turnaround := c.callTime()
 	if deficit := (ahead+inProgress)*turnaround.Seconds() - calls.credit; deficit > 0 {
-		turnaround += time.Duration(deficit / calls.capacity * float64(time.Second))
+		turnaround += saturate.Seconds(deficit / calls.capacity)
 	}
 	hasSpare := !calls.strained ||
 		inProgress+1 <= max(minCallSlots, calls.capacity*strainedSkipShare) && calls.credit > calls.capacity*strainedSkipShare
@@ -158,13 +160,13 @@
 		// in the window.
 		left := calls.quota*c.settings.CallWindow.Seconds()*plannedShare - calls.inProgress.sum(c.now)[0]
 		left -= c.settings.CallLinger.Seconds()
-		timeout = min(timeout, max(time.Duration(left*float64(time.Second)), minOverQuotaCallTimes*c.callTime()))
+		timeout = min(timeout, max(saturate.Seconds(left), minOverQuotaCallTimes*c.callTime()))
 	}
 	if calls.seconds.count > 0 && request.Route.Idempotency == Retryable {
 		// A call that is never answered would use up capacity until its request is aborted. It is abandoned and made
 		// again, with a longer timeout each time, as the dependency may only have become slow.
 		lost := calls.seconds.mean * lostCallFactor * callBackoff(request)
-		timeout = min(timeout, time.Duration(lost*float64(time.Second)))
+		timeout = min(timeout, saturate.Seconds(lost))
 	}
 	return max(timeout, tickInterval)
 }
--- a/admission/calls_test.go
+++ b/admission/calls_test.go
@@ -140,3 +140,15 @@
 		b.round(Round{CallsEnded: end, RunsEnded: end})
 	}
 }
+
+// A request must skip its call where no capacity for calls is left. Formerly, the wait for capacity was infinite, which
+// x86-64 converted to the lowest duration, as if there were time, and arm64 to the highest.
+func TestCallIsSkippedWithoutCapacity(t *testing.T) {
+	b := newFixture(nil)
+	x := b.request("x", 0)
+	b.round(Round{Arrived: []*Request{x}})
+	b.calls.capacity, b.calls.credit = 0, 0
+	b.calls.peerSeconds.weight, b.calls.peerSeconds.estimate.Mean = 1, 0.1
+	b.active = append(b.active, &Request{Route: b.Routes[0], phase: calling, calledAt: b.at, chargedAt: b.at, usefulUntil: x.usefulUntil})
+	assert.Equal(t, "skip x", b.round(Round{AwaitingCall: []*Request{x}}))
+}
--- a/admission/idle.go
+++ b/admission/idle.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"quartzpoint/saturate"
 )
 
 const (
@@ -65,6 +67,6 @@
 	c.connections.forget(c.now, idleTimeout)
 	ratio, known := c.connections.returnRatio(c.now)
 	if known && idleTimeout > 0 {
-		executor.SetIdleTimeout(max(minIdleTimeout, time.Duration(math.Pow(ratio, reuseExponent)*float64(idleTimeout))))
+		executor.SetIdleTimeout(max(minIdleTimeout, saturate.Nanoseconds(math.Pow(ratio, reuseExponent)*float64(idleTimeout))))
 	}
 }
--- a/admission/trial.go
+++ b/admission/trial.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"quartzpoint/saturate"
 )
 
 // doubtfulRatio is the ratio of the expected to the usual work from which the expected work is checked by a trial.
@@ -48,7 +50,7 @@
 func (c *Controller) beginTrial(request *Request) {
 	expected, usual := c.expectedWork(request), c.usualWork(request)
 	c.trial.request = request
-	c.trial.maxUsualWork = time.Duration(math.Sqrt(float64(expected) * float64(usual)))
+	c.trial.maxUsualWork = saturate.Nanoseconds(math.Sqrt(float64(expected) * float64(usual)))
 }
 
 // endTrial evaluates the trial, if the run that ended is its run.
--- a/admission/work.go
+++ b/admission/work.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"quartzpoint/saturate"
+)
 
 const (
 	priorRuns         = 2.0   // weight of the long-term mean when it is averaged with the recent runs, as a number of runs
@@ -44,10 +48,10 @@
 func (c *Controller) usualWork(request *Request) time.Duration {
 	if request.CostHint > 0 && (c.work.hintRatio.count > 0 || c.work.peerHintRatio.weight > 0) {
 		ratio, _ := c.prior(c.work.hintRatio, &c.work.peerHintRatio)
-		return time.Duration(ratio * float64(request.CostHint))
+		return saturate.Nanoseconds(ratio * float64(request.CostHint))
 	}
 	mean, _ := c.priorWork(request.Route)
-	return time.Duration(mean * float64(time.Second))
+	return saturate.Seconds(mean)
 }
 
 // priorWork returns the core time in seconds that runs of a route are expected to take before recent runs are
@@ -72,7 +76,7 @@
 	}
 	mean, runs := c.priorWork(request.Route)
 	recent := runTotalsOf(request.Route.recentRuns.sum(c.now))
-	return time.Duration((max(recent.coreSeconds, 0) + runs*mean) / (recent.ended + runs) * float64(time.Second))
+	return saturate.Seconds((max(recent.coreSeconds, 0) + runs*mean) / (recent.ended + runs))
 }
 
 // expectedHintedWork returns the core time that work with a hint is expected to take.
@@ -81,7 +85,7 @@
 	spent, hinted := sums[0], sums[1]
 	ratio, prior := c.prior(c.work.hintRatio, &c.work.peerHintRatio)
 	prior *= hint.Seconds()
-	return time.Duration((spent + prior*ratio) / (hinted + prior) * float64(hint))
+	return saturate.Nanoseconds((spent + prior*ratio) / (hinted + prior) * float64(hint))
 }
 
 // workKnown reports whether expectedWork is based on runs that have ended, here or at other servers.
--- a/budget/deadline.go
+++ b/budget/deadline.go
@@ -1,6 +1,10 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"quartzpoint/saturate"
+)
 
 const (
 	optionalTimeoutFactor = 4 // maximum timeout of an optional call, as a multiple of its configured duration
@@ -23,7 +27,7 @@
 	}
 	expected := s.expectedDuration(execution, call)
 	path := expected + s.remainingPaths(execution)[call]
-	timeout := time.Duration(float64(remaining) * float64(expected) / float64(path))
+	timeout := saturate.Nanoseconds(float64(remaining) * float64(expected) / float64(path))
 	c := &execution.plan.Calls[call]
 	if !c.Required {
 		return min(timeout, optionalTimeoutFactor*c.Expected)
--- a/budget/dependency.go
+++ b/budget/dependency.go
@@ -4,6 +4,8 @@
 	"math/rand"
 	"time"
 
+	"quartzpoint/saturate"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
@@ -136,7 +138,7 @@
 	if d.breaker == HalfOpen {
 		// A probe that hangs until its timeout would keep the breaker of a recovered dependency from closing for that
 		// long, so the next probe may be sent after a few times the usual duration.
-		d.probeDeadline = now + max(minProbeTimeout, time.Duration(slowFactor*d.meanSeconds*float64(time.Second)))
+		d.probeDeadline = now + max(minProbeTimeout, saturate.Seconds(slowFactor*d.meanSeconds))
 	}
 	d.inFlight++
 	return true, false
--- a/budget/health.go
+++ b/budget/health.go
@@ -1,6 +1,10 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"quartzpoint/saturate"
+)
 
 const (
 	bucketWidth = 250 * time.Millisecond
@@ -64,7 +68,7 @@
 // while few calls were measured.
 func (d *Dependency) ExpectedDuration(configured time.Duration) time.Duration {
 	prior := priorSamples
-	return time.Duration((d.meanSeconds*d.meanSamples + configured.Seconds()*prior) / (d.meanSamples + prior) * float64(time.Second))
+	return saturate.Seconds((d.meanSeconds*d.meanSamples + configured.Seconds()*prior) / (d.meanSamples + prior))
 }
 
 // record counts a call that has ended, and updates the breaker and slow start.
--- a/emulator/dependency.go
+++ b/emulator/dependency.go
@@ -7,6 +7,7 @@
 
 	"quartzpoint/admission"
 	"quartzpoint/rulecheck"
+	"quartzpoint/saturate"
 )
 
 // dependency is a service that is called by runs. It works on Slots calls at once; further calls are queued.
@@ -61,7 +62,7 @@
 	d.inFlight++
 	sigma := math.Sqrt(math.Log1p(d.Spread * d.Spread))
 	took := d.slowFactor * float64(d.Mean) * math.Exp(d.rng.NormFloat64()*sigma-sigma*sigma/2)
-	w.after(time.Duration(took), func() {
+	w.after(saturate.Nanoseconds(took), func() {
 		d.inFlight--
 		if !d.unresponsive {
 			d.end(c, admission.Succeeded)
--- a/emulator/load.go
+++ b/emulator/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quartzpoint/admission"
+	"quartzpoint/saturate"
 )
 
 // Route is a kind of request, with the work that its requests need.
@@ -78,7 +79,7 @@
 	}
 	route := routes[a.Route]
 	sigma := math.Sqrt(math.Log1p(route.Spread * route.Spread))
-	a.Work = time.Duration(float64(route.Work) * math.Exp(rng.NormFloat64()*sigma-sigma*sigma/2))
+	a.Work = saturate.Nanoseconds(float64(route.Work) * math.Exp(rng.NormFloat64()*sigma-sigma*sigma/2))
 	return a
 }
 
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -11,6 +11,7 @@
 	"quartzpoint/admission"
 	"quartzpoint/budget"
 	"quartzpoint/rulecheck"
+	"quartzpoint/saturate"
 )
 
 const (
@@ -247,7 +248,7 @@
 	var next func()
 	next = func() {
 		maxFactor := max(2*factor(), 0.1)
-		wait := time.Duration(rng.ExpFloat64() / (load.Rate * maxFactor) * 1e9)
+		wait := saturate.Seconds(rng.ExpFloat64() / (load.Rate * maxFactor))
 		w.after(max(wait, 1), func() {
 			if w.now >= load.Span {
 				return
@@ -299,7 +300,7 @@
 	if w.fleet.Jitter > 0 {
 		d += time.Duration(w.networkRand.ExpFloat64() * float64(w.fleet.Jitter))
 	}
-	d = time.Duration(float64(d) * w.delayFactor)
+	d = saturate.Nanoseconds(float64(d) * w.delayFactor)
 	for losses := 0; w.lossRate > 0 && losses < 5 && w.networkRand.Float64() < w.lossRate; losses++ {
 		d += resendDelay << losses
 	}
--- a/estimate/merge.go
+++ b/estimate/merge.go
@@ -3,7 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
+
+	"quartzpoint/saturate"
 )
 
 const (
@@ -134,7 +135,7 @@
 		Mean:    upperMedian(origins, func(e Estimate) float64 { return e.Mean }),
 		Spread:  upperMedian(origins, func(e Estimate) float64 { return e.Spread }),
 		Samples: -upperMedian(origins, func(e Estimate) float64 { return -e.Samples }),
-		Age:     time.Duration(upperMedian(origins, func(e Estimate) float64 { return float64(e.Age) })),
+		Age:     saturate.Nanoseconds(upperMedian(origins, func(e Estimate) float64 { return float64(e.Age) })),
 	}
 }
 
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -4,6 +4,8 @@
 	"math"
 	"strconv"
 	"time"
+
+	"quartzpoint/saturate"
 )
 
 // bounds is the range of values that a number may have.
@@ -31,9 +33,8 @@
 	return ""
 }
 
-// MaxDuration is the maximum of durations in settings; longer ones are reduced to it. No process runs that long, and
-// adding to a time that far ahead does not overflow.
-const MaxDuration = 10 * 365 * 24 * time.Hour
+// MaxDuration is the maximum of durations in settings; longer ones are reduced to it.
+const MaxDuration = saturate.MaxDuration
 
 // parseMicroseconds parses a number of microseconds in any notation of a float. whole is false if the text is not a
 // whole number.
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"quartzpoint/admission"
+	"quartzpoint/saturate"
 )
 
 // Keys of the platform's lists of objects.
@@ -21,6 +22,9 @@
 	listTenants = "tenants"
 )
 
+// maxListLength is the maximum number of items of a list.
+const maxListLength = 1 << 18
+
 // FieldError is an error in one setting.
 type FieldError struct {
 	Key     string // the platform's key
@@ -88,14 +92,14 @@
 	if len(d.errs) > 0 {
 		return nil, errors.Join(d.errs...)
 	}
-	for i := range int(d.routeCount) {
+	for i := range saturate.Int(d.routeCount) {
 		route := admission.DefaultRoute()
 		if decoded := d.routes[i]; decoded != nil {
 			route = *decoded
 		}
 		d.settings.Admission.Routes = append(d.settings.Admission.Routes, route)
 	}
-	for i := range int(d.tenantCount) {
+	for i := range saturate.Int(d.tenantCount) {
 		tenant := admission.DefaultTenant()
 		if decoded := d.tenants[i]; decoded != nil {
 			tenant = *decoded
@@ -250,6 +254,8 @@
 		d.addError(key, "%s is not a number", text)
 	case d.strict && (math.IsNaN(n) || math.IsInf(n, 0)):
 		d.addError(key, "%s is %s", text, anyFinite.problem(n))
+	case n > maxListLength:
+		d.addError(key, "%s is more than %d", text, maxListLength)
 	default:
 		d.settings.fixed[key] = fmt.Sprint(n)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -262,3 +262,18 @@
 		assert.Equal(t, want, got.Admission.Routes[0].Idempotency)
 	}
 }
+
+// The length of a list must be bounded. Formerly, an infinite one was a list without an end on arm64, and an empty list
+// on x86-64.
+func TestListLengthIsBounded(t *testing.T) {
+	for _, key := range []string{keyRouteCount, keyTenantCount} {
+		for _, count := range []string{"inf", "1e18", "262145"} {
+			_, err := FromLines(key + "=" + count)
+			assert.ErrorContains(t, err, "is more than 262144", "%s=%s", key, count)
+		}
+		got, err := FromLines(key + "=nan")
+		require.NoError(t, err)
+		assert.Empty(t, got.Admission.Routes)
+		assert.Empty(t, got.Admission.Tenants)
+	}
+}
--- a/internal/testkit/harness/cores.go
+++ b/internal/testkit/harness/cores.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"quartzpoint/saturate"
 )
 
 // Cores emulates CPU cores that the jobs of this process share evenly in real time, without using any CPU time. Beyond
@@ -81,7 +83,7 @@
 			return ctx.Err()
 		}
 		// The rate changes when jobs start or end, so it is read again at least every rateCheckInterval.
-		wait := min(time.Duration(left/c.rate()*float64(time.Second)), rateCheckInterval)
+		wait := min(saturate.Seconds(left/c.rate()), rateCheckInterval)
 		c.mu.Unlock()
 		select {
 		case <-time.After(wait):
--- a/internal/testkit/harness/workers_runs.go
+++ b/internal/testkit/harness/workers_runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quartzpoint/emulator"
+	"quartzpoint/saturate"
 )
 
 // run is one run of a pool: on the cores, paused, or blocked at its call.
@@ -82,7 +83,7 @@
 		return next
 	}
 	for _, r := range w.running {
-		next = min(next, time.Duration(r.remaining/w.rate(now)*float64(time.Second)))
+		next = min(next, saturate.Seconds(r.remaining/w.rate(now)))
 	}
 	return next
 }
--- a/internal/workerlink/notices.go
+++ b/internal/workerlink/notices.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"quartzpoint/internal/workerapi"
+	"quartzpoint/saturate"
 )
 
 // maxLineBytes is the maximum length of a line that is read. A result of 4 KiB takes 6 KiB.
@@ -44,7 +45,7 @@
 )
 
 func (n *line) duration() time.Duration {
-	return time.Duration(n.DurationMS * float64(time.Millisecond))
+	return saturate.Nanoseconds(n.DurationMS * float64(time.Millisecond))
 }
 
 // readNotices reads a link to its end. A line that can't be parsed is skipped. If it was a notice, its index is missing
