Bound the received bytes of all connections together, not of each one

Cause: netpoll reads on as long as a peer sends, whether or not its callbacks keep up, and our bound of a 32nd of the memory was for each connection; 448 connections may store 14 times the memory. The event loop parses more slowly than the clients send. Change: netpoll's callback for received bytes now runs on the poller after each read. It waits until the bytes are within one bound for all connections, so the poller reads nothing meanwhile and the kernel holds back the peers. No connection is cut off for it any more. A connection is ended by shutdown(2), as netpoll's Close would make the poller wait for itself; the poller then closes it. Receive buffers have 128 KiB, which bounds one read.

--- a/internal/frontend/accept.go
+++ b/internal/frontend/accept.go
@@ -66,7 +66,7 @@
 	c := newConn(f, transport)
 	_ = transport.AddCloseCallback(c.onClosed) // never fails
 	f.server.Submit(c.join)
-	return context.WithValue(poller.Context(f.server), connKey{}, c)
+	return context.WithValue(context.Background(), connKey{}, c)
 }
 
 // join adds a new connection on the event loop. Near the limit, the connection that is needed least is drained, and at
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"log/slog"
 	"maps"
 	"slices"
@@ -14,7 +13,6 @@
 
 	"quartzpoint/internal/events"
 	"quartzpoint/internal/frame"
-	"quartzpoint/internal/poller"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/writequeue"
 )
@@ -38,6 +36,8 @@
 	halfClosed    bool        // the peer has ended its side, netpoll has released the connection, and fd is our own duplicate
 	closedLocally atomic.Bool // this side closed the connection, not the peer
 
+	received receivedBytes
+
 	// Reading.
 	requests     map[uint32]*server.Request // open requests by stream; no value is nil
 	lastStream   uint32                     // highest stream used; streams increase from 1, so no list of used ones is needed
@@ -59,7 +59,6 @@
 	openedAt   time.Duration
 	activeAt   time.Duration // time of the last complete frame, write, drain, failure or half-close
 	drainingAt time.Duration // time at which draining began
-	closer     poller.DeferredClose
 }
 
 func newConn(f *Frontend, transport netpoll.Connection) *conn {
@@ -118,12 +117,18 @@
 	}
 	c.release()
 	c.closedLocally.Store(true)
-	c.closer.Close(c.transport)
+	c.shutDescriptor()
 }
 
-// closerOf returns the DeferredClose of a connection from its context.
-func closerOf(ctx context.Context) *poller.DeferredClose {
-	return &ctx.Value(connKey{}).(*conn).closer
+// shutDescriptor ends both sides of the connection, upon which the poller closes it. Netpoll's own Close must not be
+// called: while netpoll's callback runs on the poller it would leave the close to the poller, which would then wait for
+// itself forever.
+func (c *conn) shutDescriptor() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		_ = unix.Shutdown(c.fd, unix.SHUT_RDWR) // fails if the connection was reset, which the poller notices as well
+	}
 }
 
 // release marks the connection as dead and drops its queued answers.
--- a/internal/frontend/fixture_test.go
+++ b/internal/frontend/fixture_test.go
@@ -87,10 +87,10 @@
 	<-done
 }
 
-// sendUnread sends a request and waits until netpoll has read it. It must be called on the event loop, which can't
+// sendUnread sends a request and waits until the poller has read it. It must be called on the event loop, which can't
 // parse the request meanwhile.
 func (b *fixture) sendUnread(t *testing.T, c *conn, r *fake.Router, stream uint32) {
 	t.Helper()
 	r.Send(t, fake.RequestFrame(stream, "pay", ""))
-	require.Eventually(t, func() bool { return c.transport.Reader().Len() > 0 }, fake.WaitLimit, time.Millisecond)
+	require.Eventually(t, func() bool { return !c.received.empty() }, fake.WaitLimit, time.Millisecond)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,15 +9,18 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"quartzpoint/internal/invariant"
-	"quartzpoint/internal/poller"
 	"quartzpoint/internal/server"
 )
 
 const (
 	queueMemoryDivisor = 8  // unwritten answers take at most the program's memory divided by this
-	readAheadDivisor   = 32 // unparsed input of one connection takes at most that memory divided by this
+	readAheadDivisor   = 32 // unparsed input of all connections has at most that memory divided by this
+	// receiveBufferBytes is the size of the kernel's receive buffer of a connection. It holds more than all the requests
+	// that a router may have open, and bounds a single read.
+	receiveBufferBytes = 128 << 10
 )
 
 // Frontend is a listener and the connections that routers opened to it. It belongs to the server's event loop. Serve
@@ -34,7 +37,7 @@
 	maxOverLimit   int // connections beyond maxConns, accepted while all others are in use
 	maxUnjoined    int // connections that are accepted and have not yet joined the event loop
 	maxQueuedBytes int // of all connections' write queues
-	maxReadAhead   int // bytes that one connection may have received and not parsed
+	readAhead      *readAhead
 	idleTimeout    time.Duration
 	routersCancel  bool // routers send a cancellation once nobody waits for a request any longer
 
@@ -66,12 +69,16 @@
 	f := &Frontend{
 		server: s, counters: counters, log: log,
 		maxQueuedBytes: limits.MemoryMB << 20 / queueMemoryDivisor,
-		maxReadAhead:   limits.MemoryMB << 20 / readAheadDivisor,
+		readAhead:      newReadAhead(limits.MemoryMB<<20/readAheadDivisor, s.Ended()),
 		routersCancel:  s.RoutersReportCancel(),
 	}
 	f.maxConns, f.maxOverLimit, f.maxUnjoined = splitSockets(socketLimit(limits.Sockets))
+	// The connections inherit it from their listener.
+	if err := unix.SetsockoptInt(listener.Fd(), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes); err != nil {
+		log.Warn("receive buffers keep the system's size", "error", err)
+	}
 	f.listener = &countingListener{listener, f}
-	f.eventLoop, err = netpoll.NewEventLoop(onReadable, netpoll.WithOnPrepare(f.prepare), poller.OnRegistered(closerOf))
+	f.eventLoop, err = netpoll.NewEventLoop(onReadable, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
 		return nil, fmt.Errorf("create netpoll event loop: %w", err)
 	}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -12,13 +12,13 @@
 	"quartzpoint/internal/sysfault"
 )
 
-// inputEmpty reports whether no bytes wait to be read, neither in netpoll nor in the kernel. It returns
-// true if the connection is closed or the peer has ended its side.
+// inputEmpty reports whether no bytes wait to be parsed, neither on this side nor in the kernel. It returns true if the
+// connection is closed or the peer has ended its side.
 func (c *conn) inputEmpty() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// The kernel is checked first, because bytes move from the kernel to netpoll and never back.
-	return c.closed || c.halfClosed || !c.unreadInKernel() && c.transport.Reader().Len() == 0
+	// The order of the checks is that in which bytes move: from the kernel to netpoll and on to received.
+	return c.closed || c.halfClosed || !c.unreadInKernel() && c.transport.Reader().Len() == 0 && c.received.empty()
 }
 
 // unreadInKernel reports whether the kernel holds unread bytes from the peer. The end of the peer's side does not
@@ -48,22 +48,33 @@
 	}
 }
 
-// onReadable is netpoll's callback for received bytes. It runs on the event loop and must consume all of them: netpoll
-// calls it again at once while any are left.
+// onReadable is netpoll's callback for received bytes. It runs on the poller after each read, before the next one, and
+// must consume all bytes: netpoll calls it again at once while any are left. Netpoll itself reads as long as a peer sends,
+// whether or not its callbacks keep up, so the bytes are bounded here.
 func onReadable(ctx context.Context, transport netpoll.Connection) error {
 	c := ctx.Value(connKey{}).(*conn)
 	in := transport.Reader()
-	if in.Len() > c.frontend.maxReadAhead && !c.dead {
-		c.cutOff("sends faster than can be read") // netpoll keeps reading even if its callbacks don't keep up
-	}
-	bytes, err := in.Next(in.Len())
+	bytes, err := in.Peek(in.Len())
 	if err != nil {
 		return err
 	}
+	// They are added before they are consumed, so that inputEmpty finds them at any time.
+	if c.frontend.readAhead.acquire(len(bytes)) && c.received.add(bytes) {
+		c.frontend.server.Submit(c.parseReceived)
+	}
+	if err := in.Skip(len(bytes)); err != nil {
+		return err
+	}
+	return in.Release()
+}
+
+// parseReceived parses the received bytes, on the event loop. The bytes of a connection that has ended are dropped.
+func (c *conn) parseReceived() {
+	bytes := c.received.take()
 	if !c.dead && !c.broken {
 		c.parse(bytes)
 	}
-	return in.Release()
+	c.frontend.readAhead.release(len(bytes))
 }
 
 // parse handles all frames in bytes. They are parsed in place; only the beginning of an incomplete frame is copied.
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -1,5 +1,5 @@
-// Package poller configures netpoll for the whole process: one poller, and callbacks that run on the event loop to
-// which a connection belongs.
+// Package poller configures netpoll for the whole process: one poller, and callbacks that run on it or on the event loop
+// to which a connection belongs.
 package poller
 
 import (
@@ -27,7 +27,7 @@
 // netpoll reads its configuration when its first poller starts, so its documentation asks for the configuration in an
 // init function.
 func init() {
-	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: runOnEventLoop, LoggerOutput: logWriter{}})
+	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: runCallback, LoggerOutput: logWriter{}})
 	if err != nil {
 		panic(fmt.Errorf("netpoll: %w", err))
 	}
@@ -38,10 +38,15 @@
 	return context.WithValue(context.Background(), eventLoopKey{}, loop)
 }
 
-// runOnEventLoop submits netpoll's callbacks to the event loop, so that reads need neither locks nor extra goroutines.
-// Callbacks can't run on the poller itself: closing a connection there would wait for the poller forever.
-func runOnEventLoop(ctx context.Context, callback func()) {
-	ctx.Value(eventLoopKey{}).(EventLoop).Submit(callback)
+// runCallback submits netpoll's callback to the event loop of its connection, so that reads need neither locks nor extra
+// goroutines. If the context names no event loop, the callback runs on the poller, after each single read. Such a
+// connection must not be closed by netpoll's Close, which would make the poller wait for itself forever.
+func runCallback(ctx context.Context, callback func()) {
+	if loop, onLoop := ctx.Value(eventLoopKey{}).(EventLoop); onLoop {
+		loop.Submit(callback)
+		return
+	}
+	callback()
 }
 
 // Accept accepts a connection; it implements the Accept method of the listener that is passed to netpoll.
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -26,8 +26,12 @@
 	notStarted []*Request           // that the composer did not accept
 }
 
+// Ended returns a channel that is closed when Run has returned.
+func (s *Server) Ended() <-chan struct{} { return s.ended }
+
 // Run runs the event loop until the server has drained.
 func (s *Server) Run() {
+	defer close(s.ended)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var firesAt time.Duration // when timer fires next
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,7 +45,7 @@
 }
 
 // Server is the event loop. Once Run is called, its methods must be called on Run's goroutine, except for Submit, Wake,
-// Drain, ChangeTables, HandleCallEnd, UsePeerEstimates, Now and Events.
+// Drain, ChangeTables, HandleCallEnd, UsePeerEstimates, Now, Ended and Events.
 type Server struct {
 	controller *admission.Controller
 	settings   *settings.Settings
@@ -63,6 +63,7 @@
 	observeRound func(took time.Duration) // nil without an observer
 	notices      []workerapi.Notice       // reused by each input pass
 
+	ended            chan struct{} // closed when Run returns
 	clock            clock
 	inbox            inbox
 	round            round
@@ -102,6 +103,7 @@
 	s := &Server{
 		settings: configured, limits: limits, counters: counters, log: log, events: events.New(log),
 		composer: noComposer{},
+		ended:    make(chan struct{}),
 		clock:    newClock(),
 		inbox:    inbox{wake: make(chan struct{}, 1)},
 		requests: requestTable{
