Don't keep a keyed request in memory for the window of its key

What callers saw: nothing; found while summing what outside bytes can grow. Cause: the controller's list of keys held the requests themselves. It holds entries of their own now, which refer to no request.

--- a/admission/admit.go
+++ b/admission/admit.go
@@ -59,7 +59,7 @@
 // memoryUsedKB returns the memory of requests queued and in flight and of idempotency keys in KiB. A duplicate that
 // waits for its original takes as much as a queued request.
 func (c *Controller) memoryUsedKB() float64 {
-	kb := float64(len(c.keyed)) * c.settings.KeyKB
+	kb := float64(len(c.keys)) * c.settings.KeyKB
 	for _, request := range c.queue {
 		kb += request.QueuedKB
 	}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -17,8 +17,8 @@
 
 // Controller makes the decisions of one server. Its methods must not be called concurrently.
 //
-// A request that takes any resource is in exactly one of queue and active; one with an idempotency key is also in keyed
-// until its entry expires or is released.
+// A request that takes any resource is in exactly one of queue and active. The entry of its idempotency key is in keys
+// until it expires or is released.
 type Controller struct {
 	// Routes holds the routes by index. Programs may read it; PutRoute and RemoveRoute change it.
 	Routes []*Route
@@ -30,9 +30,9 @@
 	tickedAt time.Duration // time of the last tick; 0 before the first round
 	ticks    int
 
-	queue  []*Request // ordered by answerBy
-	active []*Request // in flight, including answered requests, or awaiting an original
-	keyed  []*Request // with an entry in the table of idempotency keys
+	queue  []*Request  // ordered by answerBy
+	active []*Request  // in flight, including answered requests, or awaiting an original
+	keys   []*keyEntry // in the table of idempotency keys
 
 	limit       inFlightLimit
 	slowStart   slowStart
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -63,25 +63,25 @@
 	if c.memoryUsedKB()+c.settings.KeyKB+request.QueuedKB > c.memoryKB() {
 		return false
 	}
-	request.keyExpiresAt = request.Arrived + request.Route.DedupWindow + tickInterval
-	c.keyed = append(c.keyed, request)
-	executor.RememberKey(request, request.keyExpiresAt-c.now)
+	request.key = &keyEntry{expiresAt: request.Arrived + request.Route.DedupWindow + tickInterval}
+	c.keys = append(c.keys, request.key)
+	executor.RememberKey(request, request.key.expiresAt-c.now)
 	return true
 }
 
 // releaseKey drops the idempotency key of a request that never ran. The key of one that ran stays known for its whole
 // dedup window.
 func (c *Controller) releaseKey(request *Request, executor Executor) {
-	if request.keyExpiresAt > 0 && !request.started {
-		request.keyExpiresAt = 0
-		c.keyed = slices.DeleteFunc(c.keyed, func(other *Request) bool { return other == request })
+	if released := request.key; released != nil && !request.started {
+		request.key = nil
+		c.keys = slices.DeleteFunc(c.keys, func(other *keyEntry) bool { return other == released })
 		executor.ForgetKey(request)
 	}
 }
 
 // expireKeys removes the entries whose dedup window has ended.
 func (c *Controller) expireKeys() {
-	c.keyed = slices.DeleteFunc(c.keyed, func(request *Request) bool { return request.keyExpiresAt <= c.now })
+	c.keys = slices.DeleteFunc(c.keys, func(key *keyEntry) bool { return key.expiresAt <= c.now })
 }
 
 // enqueue inserts a request after all requests with the same or an earlier answerBy.
--- a/admission/request.go
+++ b/admission/request.go
@@ -17,25 +17,29 @@
 	Router     uint32        // ID of the router that sent it
 	Duplicate  bool          // its idempotency key is already known: it is answered from the original request
 
-	phase        phase
-	chargedAt    time.Duration // when its phase was last charged; while it is queued, when it was read
-	started      bool          // a run of it has been started
-	answered     bool          // it has its final answer, or its caller no longer waits
-	keyExpiresAt time.Duration // when the entry of its idempotency key expires; 0 without an entry
-	answerBy     time.Duration // latest time of its answer, whatever happens
-	usefulUntil  time.Duration // time after which an answer earns no value
-	coreTime     time.Duration // time on the cores so far
-	queueExcess  time.Duration // time by which the queue ahead was too long when the request was shed
-	onTrial      bool          // the plan keeps it for a trial, see trial
-	plannedLate  bool          // the last plan has it end past its latency target
-	reason       RejectReason
-	shedBasis    ShedBasis
+	phase       phase
+	chargedAt   time.Duration // when its phase was last charged; while it is queued, when it was read
+	started     bool          // a run of it has been started
+	answered    bool          // it has its final answer, or its caller no longer waits
+	key         *keyEntry     // the entry of its idempotency key; nil without one
+	answerBy    time.Duration // latest time of its answer, whatever happens
+	usefulUntil time.Duration // time after which an answer earns no value
+	coreTime    time.Duration // time on the cores so far
+	queueExcess time.Duration // time by which the queue ahead was too long when the request was shed
+	onTrial     bool          // the plan keeps it for a trial, see trial
+	plannedLate bool          // the last plan has it end past its latency target
+	reason      RejectReason
+	shedBasis   ShedBasis
 
 	callFailures  int           // attempts of its call that did not succeed
 	callNotBefore time.Duration // earliest time of the next attempt of its call
 	calledAt      time.Duration // when its call in progress was made
 }
 
+// keyEntry is the entry of an idempotency key. It outlives its request by the rest of the dedup window, so it must not
+// refer to the request, which has a body and a caller.
+type keyEntry struct{ expiresAt time.Duration }
+
 // ReceivedAt returns when the request was received completely. Whether it is within the grace of a shutdown depends on
 // this time.
 func (r *Request) ReceivedAt() time.Duration { return max(r.Arrived, r.LastByteAt) }
--- a/internal/server/keys_test.go
+++ b/internal/server/keys_test.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"runtime"
 	"strings"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/stretchr/testify/assert"
 
@@ -97,3 +99,26 @@
 	assert.Zero(t, b.counts.Times("check failed: a request was answered twice"))
 	assert.Empty(t, b.answers)
 }
+
+// Guards against a fault: a keyed request was kept in memory with its body and its connection for the whole window of its
+// key, though only an entry of the key table was accounted for.
+func TestKeyDoesNotKeepItsRequestInMemory(t *testing.T) {
+	site := strings.Replace(fake.SiteSettings, `"fragile"`, `"dedup","dedup-window":60000000`, 1)
+	b := newFixtureWith(t, site, Limits{MemoryMB: 96, Sockets: 256, Keys: true}, nil)
+	b.pool.Ready()
+	b.waitLinkSynced(t)
+	var request weak.Pointer[Request]
+	b.onLoop(func() {
+		request = weak.Make(b.Receive(IncomingRequest{
+			ID: fake.RequestID(1), Route: "pay", QueuedKB: 20, Rank: 0.9, SentUnixMS: time.Now().UnixMilli(), Timeout: time.Minute,
+			Caller: b, Stream: 1, Key: "n",
+		}))
+	})
+	b.pool.Finish(b.pool.Next(t, "spawn").RunID, "success", nil)
+	assert.Equal(t, Served, b.nextAnswer(t).Verdict)
+	b.submitRequest(2, "browse", time.Minute) // takes the place of the first one in the buffers that rounds reuse
+	b.pool.Finish(b.pool.Next(t, "spawn").RunID, "success", nil)
+	assert.Equal(t, Served, b.nextAnswer(t).Verdict)
+	assert.Eventually(t, func() bool { runtime.GC(); return request.Value() == nil }, fake.WaitLimit, time.Millisecond)
+	b.onLoop(func() { assert.Len(t, b.keys.entries, 1) })
+}
