Bound the table of idempotency keys by its bytes

What callers saw: nothing yet; found while summing what outside bytes can grow. Cause: the table had room for a number of entries at 512 bytes each, but a key contains its tenant's name, which is as long as a frame allows. Also, a key of 256 bytes with its entry took more than 512. Change: the table counts the bytes of its keys, and 256 bytes for each entry. TestKeyTableIsBoundedByItsBytes and TestTenantsWithLongNamesShareNoKey are new.

--- a/cmd/quartzpoint/badclients_test.go
+++ b/cmd/quartzpoint/badclients_test.go
@@ -15,16 +15,21 @@
 	"github.com/stretchr/testify/require"
 
 	"quartzpoint/internal/testkit/fake"
+	"quartzpoint/internal/testkit/harness"
 )
 
 const (
 	badClientsMemoryMB = 64
 	badClientsSockets  = 512
-	badClientsSpan     = 1500 * time.Millisecond
+	badClientsSpan     = 2 * time.Second
 	maxBodyBytes       = 2 << 10 // of a request
+	longTenantBytes    = 7 << 10 // the frame is nearly as long as one that is assembled in memory may be
 	unendedBodyBytes   = 7 << 10 // the frame is as long as one that is assembled in memory may be
 )
 
+// keyedSite is the site with a keyed route whose keys stay known for longer than a test takes.
+var keyedSite = strings.Replace(fake.SiteSettings, `"idempotency":"retryable"`, `"idempotency":"dedup","dedup-window":60000000`, 1)
+
 // badClient is what a bad client does on one connection. It returns when the connection or its time has ended. streams is
 // shared by all clients, so that no two requests have the same ID.
 type badClient func(conn net.Conn, streams *atomic.Uint32)
@@ -65,6 +70,19 @@
 		_, _ = conn.Write(whole[:len(whole)-1])
 		_, _ = io.Copy(io.Discard, conn)
 	},
+	"sends keys of long tenants": func(conn net.Conn, streams *atomic.Uint32) {
+		for {
+			stream := streams.Add(1)
+			key := fmt.Sprintf("%0200d", stream)
+			frame := fake.RequestFrame(stream, "browse", "", "dedupe", key, "org", strings.Repeat("t", longTenantBytes))
+			if _, err := conn.Write(frame); err != nil {
+				return
+			}
+			if _, err := harness.ReadReply(conn); err != nil {
+				return
+			}
+		}
+	},
 }
 
 // Guards against a fault: bad clients, each of which kept the bounds of a connection, together drove the process over
@@ -73,7 +91,7 @@
 	for name, act := range badClients {
 		t.Run(name, func(t *testing.T) {
 			p := prepare(t, builds["release"])
-			fake.RewriteConfig(t, p.path, p.address, p.pool.Address, p.members.Address, fake.SiteSettings)
+			fake.RewriteConfig(t, p.path, p.address, p.pool.Address, p.members.Address, keyedSite)
 			p.replaceInConfig(t, `"memory_mb":96,"sockets":256`,
 				fmt.Sprintf(`"memory_mb":%d,"sockets":%d`, badClientsMemoryMB, badClientsSockets))
 			require.NoError(t, p.cmd.Start())
--- a/internal/frontend/races_test.go
+++ b/internal/frontend/races_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -204,6 +205,25 @@
 	assert.Empty(t, b.pool.Commands, "another request ran")
 }
 
+// Tenants with long names must not share a key either, though only a digest of such a name is kept.
+func TestTenantsWithLongNamesShareNoKey(t *testing.T) {
+	limits := defaultLimits()
+	limits.Keys, limits.Tenants = true, true
+	b := newFixtureAt(t, limits, keyedSite, nil)
+	r := b.dialActive(t)
+	long := strings.Repeat("t", maxTenantBytes+1)
+	for i, tenant := range []string{long, long + "t", long[1:]} {
+		stream := uint32(10 * (i + 1))
+		r.Send(t, fake.RequestFrame(stream, "file", "b", "org", tenant, "dedupe", "k"))
+		b.pool.Next(t, "spawn")
+		b.pool.Finish(fake.RequestID(stream), "success", []byte(fmt.Sprint(i)))
+		assert.Equal(t, fmt.Sprint(i), r.Next(t).Body)
+		r.Send(t, fake.RequestFrame(stream+1, "file", "b", "org", tenant, "dedupe", "k"))
+		assert.Equal(t, fmt.Sprint(i), r.Next(t).Body, "a duplicate is answered from its original")
+	}
+	b.onLoop(func() { assert.LessOrEqual(t, len(keyTenant(long)), maxTenantBytes) })
+}
+
 // blockedListener accepts no connections until open is closed.
 type blockedListener struct {
 	netpoll.Listener
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -15,7 +17,9 @@
 	maxBodyBytes = 2 << 10
 	maxQueuedKB  = 2000.0 // a queued request must take less than this of the worker pool's memory
 	maxKeyBytes  = 256    // of an idempotency key
-	maxTimeout   = 24 * time.Hour
+	// maxTenantBytes is the length up to which a tenant's name becomes a part of idempotency keys as it is.
+	maxTenantBytes = 256
+	maxTimeout     = 24 * time.Hour
 )
 
 // invalidField is the error of a request with an invalid field or body. Its text is the field's name on the wire, which
@@ -71,7 +75,7 @@
 		}
 		// The tenant is part of the key, so that tenants never share one. A request with the same key and another body
 		// is a conflict.
-		in.Key, in.Fingerprint = tenant+"\x00"+key, xxhash.Sum64(body)
+		in.Key, in.Fingerprint = keyTenant(tenant)+"\x00"+key, xxhash.Sum64(body)
 	}
 	router, _ := strconv.ParseUint(text(frame.FieldRouter), 10, 32)
 	in.Router, in.SentUnixMS = uint32(router), sentMS
@@ -79,6 +83,16 @@
 	return in, nil
 }
 
+// keyTenant returns the text that stands for a tenant in idempotency keys: its name, or the SHA-256 digest of a name
+// longer than maxTenantBytes, as a peer may send any name and keys are kept for their whole window.
+func keyTenant(name string) string {
+	if len(name) <= maxTenantBytes {
+		return name
+	}
+	digest := sha256.Sum256([]byte(name))
+	return "\x00" + hex.EncodeToString(digest[:])
+}
+
 // isRequestID reports whether text is sixteen hexadecimal digits.
 func isRequestID(text string) bool {
 	for i := range len(text) {
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -15,12 +15,16 @@
 	stallAfter = 100 * time.Millisecond
 	// initialKeyMargin is added to the dedup window of a key until the controller has set the key's lifetime.
 	initialKeyMargin = time.Minute
+	// keyEntryBytes is the memory that an entry of the key table takes at most, here and in the controller, without its
+	// key and its result.
+	keyEntryBytes = 256
 )
 
 // keyTable holds the idempotency keys that are within their dedup window.
 type keyTable struct {
 	entries        map[string]*keyEntry
-	maxEntries     int
+	bytes          int // of the entries, without their results
+	maxBytes       int
 	resultBytes    int // of the results in entries
 	maxResultBytes int
 
@@ -44,6 +48,27 @@
 	waiting     []*Request // duplicates to answer once the original has ended
 }
 
+// add adds the entry of a key.
+func (t *keyTable) add(entry *keyEntry) {
+	t.entries[entry.key] = entry
+	t.bytes += keyEntryBytes + len(entry.key)
+}
+
+// remove removes the entry of a key, with its result.
+func (t *keyTable) remove(entry *keyEntry) {
+	if t.entries[entry.key] != entry {
+		return
+	}
+	delete(t.entries, entry.key)
+	t.bytes -= keyEntryBytes + len(entry.key)
+	t.resultBytes -= len(entry.answer.Result)
+}
+
+// hasSpace reports whether there is memory for the entry of a key. A key that is in the table needs none.
+func (t *keyTable) hasSpace(key string) bool {
+	return t.entries[key] != nil || t.bytes+keyEntryBytes+len(key) <= t.maxBytes
+}
+
 // keyOf returns the key of a request in the table. It includes the route, so that two routes never share an entry.
 func keyOf(route, key string) string { return route + "\x00" + key }
 
@@ -70,9 +95,9 @@
 	request.original = s.keys.entries[request.key]
 	request.Duplicate = request.original != nil
 	if request.original == nil { // added before the decision: a duplicate in the same round must not count as an original
-		s.keys.entries[request.key] = &keyEntry{
+		s.keys.add(&keyEntry{
 			key: request.key, fingerprint: in.Fingerprint, until: s.Now() + request.Route.DedupWindow + initialKeyMargin,
-		}
+		})
 	}
 }
 
@@ -141,8 +166,7 @@
 	if entry == nil {
 		return
 	}
-	delete(s.keys.entries, entry.key)
-	s.keys.resultBytes -= len(entry.answer.Result)
+	s.keys.remove(entry)
 	if !entry.completed {
 		entry.completed, entry.answer = true, a
 	}
--- a/internal/server/keys_test.go
+++ b/internal/server/keys_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"runtime"
 	"strings"
 	"testing"
@@ -122,3 +123,32 @@
 	assert.Eventually(t, func() bool { runtime.GC(); return request.Value() == nil }, fake.WaitLimit, time.Millisecond)
 	b.onLoop(func() { assert.Len(t, b.keys.entries, 1) })
 }
+
+// Guards against a fault: the key table was bounded by the number of its entries, at 512 bytes each, while a key could have
+// 8 KiB, as a peer may send any tenant.
+func TestKeyTableIsBoundedByItsBytes(t *testing.T) {
+	site := strings.Replace(fake.SiteSettings, `"fragile"`, `"dedup","dedup-window":60000000`, 1)
+	b := newFixtureWith(t, site, Limits{MemoryMB: 96, Sockets: 256, Keys: true}, nil)
+	incoming := func(stream uint32, key string) IncomingRequest {
+		return IncomingRequest{
+			ID: fake.RequestID(stream), Route: "pay", QueuedKB: 20, Rank: 0.9, SentUnixMS: time.Now().UnixMilli(), Timeout: time.Minute,
+			Caller: b, Stream: stream, Key: key,
+		}
+	}
+	long := strings.Repeat("k", 8<<10)
+	b.onLoop(func() {
+		b.keys.maxBytes = 2 * (keyEntryBytes + len(long))
+		b.Receive(incoming(1, long))
+		assert.Nil(t, b.Receive(incoming(2, long+"2")), "a key for which there is no memory was taken")
+		assert.NotNil(t, b.Receive(incoming(3, long)), "a duplicate needs no memory for its key")
+		for stream := range uint32(10) {
+			assert.NotNil(t, b.Receive(incoming(10+stream, fmt.Sprint("short", stream))))
+		}
+		assert.LessOrEqual(t, b.keys.bytes, b.keys.maxBytes)
+		for _, entry := range b.keys.entries {
+			b.keys.remove(entry)
+			b.keys.remove(entry) // removed already
+		}
+		assert.Zero(t, b.keys.bytes)
+	})
+}
--- a/internal/server/ledger.go
+++ b/internal/server/ledger.go
@@ -48,7 +48,7 @@
 			entry.answer = Answer{Verdict: Served, Result: record.Result}
 			s.keys.resultBytes += len(record.Result)
 		}
-		s.keys.entries[record.Key] = entry
+		s.keys.add(entry)
 	}
 }
 
--- a/internal/server/receive.go
+++ b/internal/server/receive.go
@@ -98,7 +98,7 @@
 		return "request beyond the program's own memory"
 	case keyed && in.Key == "":
 		return "keyed request without a key"
-	case keyed && len(s.keys.entries) >= s.keys.maxEntries && s.keys.entries[keyOf(in.Route, in.Key)] == nil:
+	case keyed && !s.keys.hasSpace(keyOf(in.Route, in.Key)):
 		return "keyed request beyond the program's own memory"
 	}
 	return ""
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,8 +23,7 @@
 const (
 	maxRequestKB         = 12  // KB of this process's own memory that one request may take
 	requestMemoryDivisor = 4   // requests take at most that memory divided by this
-	maxKeyEntryBytes     = 512 // bytes of that memory that an entry of the key table takes at most, without its result
-	keyMemoryDivisor     = 8   // entries of the key table take at most that memory divided by this
+	keyMemoryDivisor     = 8   // entries of the key table take at most that memory divided by this, without their results
 	resultMemoryDivisor  = 16  // results stored for duplicates take at most that memory divided by this
 	minTableEntries      = 64  // lower bound of the table sizes, however little memory there is
 	unlimitedCalls       = 1e9 // call quota that is never reached, in calls in progress
@@ -114,7 +113,7 @@
 		keys: keyTable{
 			entries: map[string]*keyEntry{}, maxResultBytes: memory / resultMemoryDivisor,
 			// The controller limits the keys in the workers' memory, by a setting.
-			maxEntries: max(minTableEntries, memory/keyMemoryDivisor/maxKeyEntryBytes),
+			maxBytes: max(minTableEntries*keyEntryBytes, memory/keyMemoryDivisor),
 		},
 		tables: tables{routes: map[string]*admission.Route{}, tenants: map[string]int{}, unserved: map[string]bool{}},
 		health: health{healthy: true},
