Answer duplicates that arrive in a drain before the stop

Cause: the controller lowered the deadlines of what it had when the notice came, and of each later request but a duplicate, for which arrive returned before. So a duplicate kept its own deadline, and nothing else answers it: the key of an aborted original stays incomplete while its run goes on. Change: setDeadlines lowers them, for every request that arrives in a drain. A duplicate past the grace is still not rejected, as its original may have run.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -9,7 +9,8 @@
 const answerMargin = 2 * tickInterval
 
 // arrive processes a request that was read: a duplicate waits for its original; a request past the grace of a shutdown
-// or without memory for its idempotency key is rejected; all others are queued.
+// or without memory for its idempotency key is rejected; all others are queued. A duplicate is never rejected, as its
+// original may have run, and it needs no grace, as it does not run itself.
 func (c *Controller) arrive(request *Request, executor Executor) {
 	c.setDeadlines(request)
 	c.countArrival(request)
@@ -19,12 +20,9 @@
 		executor.AnswerFromOriginal(request)
 		return
 	}
-	if c.drain.begun() {
-		c.drain.capDeadlines(request)
-		if c.drain.pastGrace(request.ReceivedAt(), c.settings.Grace) {
-			c.answerRejected(request, ReasonDraining, executor)
-			return
-		}
+	if c.drain.begun() && c.drain.pastGrace(request.ReceivedAt(), c.settings.Grace) {
+		c.answerRejected(request, ReasonDraining, executor)
+		return
 	}
 	if request.Route.Idempotency == Keyed && !c.rememberKey(request, executor) {
 		c.answerRejected(request, ReasonMemory, executor)
@@ -33,7 +31,8 @@
 	c.enqueue(request)
 }
 
-// setDeadlines sets when the request is answered at the latest, and until when an answer earns value.
+// setDeadlines sets when the request is answered at the latest, and until when an answer earns value. In a drain both are
+// before the stop.
 func (c *Controller) setDeadlines(request *Request) {
 	request.chargedAt = c.now
 	request.answerBy = request.Arrived + request.Route.Deadline
@@ -45,6 +44,9 @@
 	if request.Route.LateValueShare == 0 {
 		request.usefulUntil = min(request.answerBy, request.Arrived+request.Route.LatencyTarget)
 	}
+	if c.drain.begun() {
+		c.drain.capDeadlines(request)
+	}
 }
 
 // countArrival adds a request to the statistics of arrivals.
--- a/cmd/quartzpoint/drain_test.go
+++ b/cmd/quartzpoint/drain_test.go
@@ -152,3 +152,32 @@
 		})
 	}
 }
+
+// Guards against a fault: a duplicate of a keyed request that arrived in the drain was never answered if its original's run
+// outlasted the stop; its connection closed without an answer.
+func TestDuplicatesThatArriveInADrainAreAnswered(t *testing.T) {
+	p := prepare(t, builds["release"])
+	site := strings.Replace(keyedSite, `"halt":"suspend"`, `"halt":"none"`, 1) // its runs can't be stopped
+	fake.RewriteConfig(t, p.path, p.address, p.pool.Address, p.members.Address, site)
+	require.NoError(t, p.cmd.Start())
+	p.killAtCleanup(t)
+	p.pool.Ready()
+	p.waitLogged(t, "pool link bound")
+	original := fake.Dial(t, p.address)
+	original.Send(t, fake.RequestFrame(1, "browse", "", "dedupe", "k"))
+	p.pool.Next(t, "spawn") // its run does not end
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	p.waitLogged(t, "drain started")
+	duplicate := fake.Dial(t, p.address)
+	duplicate.Send(t, fake.RequestFrame(2, "browse", "", "dedupe", "k"))
+	for _, r := range []*fake.Router{original, duplicate} {
+		reply := r.Next(t)
+		for reply.Type == 30 { // the router is asked to send no more
+			reply = r.Next(t)
+		}
+		assert.Equal(t, []any{byte(11), byte(51)}, []any{reply.Type, reply.Code})
+		_ = r.Close()
+	}
+	assert.Zero(t, p.waitExit())
+	assert.NotContains(t, p.log.String(), "check failed")
+}
--- a/internal/testkit/replay/adapter_test.go
+++ b/internal/testkit/replay/adapter_test.go
@@ -156,6 +156,10 @@
 	s.requestNumbers[r] = len(s.requests)
 }
 
+func (s *subject) isDuplicate(number int) bool { return s.requests[number-1].Duplicate }
+
+func (s *subject) queuedKB(number int) float64 { return s.requests[number-1].QueuedKB }
+
 func (s *subject) decide(recorded round) []decision {
 	r := admission.Round{Now: recorded.now, StopAt: recorded.stopAt, NotifiedAt: recorded.notifiedAt, WorkersStartedAt: recorded.workersStartedAt}
 	r.CallsEnded, r.RunsEnded = s.completions(recorded.callsEnded), s.completions(recorded.runsEnded)
