Forget duplicates that are answered before their original ends

What callers saw: nothing yet; found while summing what outside bytes can grow. Repeats of a keyed request that were canceled, or aborted at their deadline, were kept with their bodies in their original's list until its run ended. They had left the request table, so nothing bounded them: a client that repeats and cancels at full speed while a run hangs fills the memory. Change: a request that is forgotten leaves its original's list.

--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"quartzpoint/admission"
@@ -69,6 +70,11 @@
 	return t.entries[key] != nil || t.bytes+keyEntryBytes+len(key) <= t.maxBytes
 }
 
+// removeWaiting removes a duplicate that was answered or canceled before its original ended.
+func (e *keyEntry) removeWaiting(request *Request) {
+	e.waiting = slices.DeleteFunc(e.waiting, func(other *Request) bool { return other == request })
+}
+
 // keyOf returns the key of a request in the table. It includes the route, so that two routes never share an entry.
 func keyOf(route, key string) string { return route + "\x00" + key }
 
--- a/internal/server/keys_test.go
+++ b/internal/server/keys_test.go
@@ -9,6 +9,7 @@
 	"weak"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"quartzpoint/internal/testkit/fake"
 )
@@ -152,3 +153,38 @@
 		assert.Zero(t, b.keys.bytes)
 	})
 }
+
+// Guards against a fault: duplicates that were canceled, or answered at their deadline, were kept with their bodies until
+// their original's run ended, and counted against no bound. One client could fill the memory with them.
+func TestAnsweredDuplicatesAreForgotten(t *testing.T) {
+	site := strings.Replace(fake.SiteSettings, `"fragile"`, `"dedup","dedup-window":60000000`, 1)
+	b := newFixtureWith(t, site, Limits{MemoryMB: 96, Sockets: 256, Keys: true}, nil)
+	b.pool.Ready()
+	b.waitLinkSynced(t)
+	receive := func(stream uint32, timeout time.Duration) (request *Request) {
+		b.onLoop(func() {
+			request = b.Receive(IncomingRequest{
+				ID: fake.RequestID(stream), Route: "pay", QueuedKB: 20, Rank: 0.9, SentUnixMS: time.Now().UnixMilli(), Timeout: timeout,
+				Caller: b, Stream: stream, Key: "n",
+			})
+		})
+		return request
+	}
+	original := receive(1, time.Minute)
+	b.pool.Next(t, "spawn") // its run does not end
+	for stream := range uint32(20) {
+		duplicate := receive(10+stream, time.Minute)
+		b.onLoop(func() { b.Cancel(duplicate) })
+	}
+	receive(50, 100*time.Millisecond)
+	assert.Equal(t, uint32(50), b.nextAnswer(t).stream)
+	receive(51, time.Minute)
+	require.Eventually(t, func() (forgotten bool) {
+		b.onLoop(func() { forgotten = len(b.keys.entries[original.key].waiting) == 1 })
+		return forgotten
+	}, fake.WaitLimit, time.Millisecond)
+	b.pool.Finish(fake.RequestID(1), "success", []byte("done"))
+	for range 2 {
+		assert.Equal(t, "done", string(b.nextAnswer(t).Result))
+	}
+}
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -56,6 +56,9 @@
 	}
 	delete(s.requests.byID, request.id)
 	delete(s.requests.byDecision, &request.Request)
+	if request.original != nil {
+		request.original.removeWaiting(request)
+	}
 }
 
 // answer sends the one final answer to a request.
