Bound the incomplete frames of all connections together

What callers saw: nothing; found while summing what outside bytes can grow. Each connection may keep 8 KiB of a frame that does not end for 2 s: 448 of them 3.6 MB, whatever the memory, which is nearly half of 8 MB. Change: all of them together have a 16th of the memory; past it the connection with the longest one fails, which an ordinary request, a third as long, is not while others send long ones.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -42,6 +42,7 @@
 	requests     map[uint32]*server.Request // open requests by stream; no value is nil
 	lastStream   uint32                     // highest stream used; streams increase from 1, so no list of used ones is needed
 	partial      []byte                     // the beginning of an incomplete frame
+	partialSize  int                        // bytes by which partial counts in the front end
 	skipBytes    int                        // bytes of a frame that is too long, still to be received and skipped
 	sawFrame     bool                       // a valid frame was received: a health check or an accepted request
 	frameBegunAt time.Duration              // time at which the incomplete frame began, 0 without one
@@ -136,6 +137,7 @@
 	c.dead = true
 	c.frontend.queuedBytes -= c.out.Size()
 	c.out = writequeue.New(0)
+	c.setPartial(nil)
 }
 
 // drain asks the router to send no new requests, and to close the connection once all open ones are answered.
@@ -157,7 +159,8 @@
 	c.frontend.counters.Count("connection closed: " + reason)
 	c.frontend.server.Events().Record(events.ConnectionClosed, "broken: "+reason,
 		slog.String("peer", c.transport.RemoteAddr().String()), slog.Int("open", len(c.requests)))
-	c.broken, c.partial, c.frameBegunAt, c.skipBytes = true, nil, 0, 0
+	c.broken, c.frameBegunAt, c.skipBytes = true, 0, 0
+	c.setPartial(nil)
 	c.activeAt = c.frontend.server.Now()
 	c.enqueue(frame.AppendHead(nil, frame.Answer, 0, frame.Aborted, nil, len(reason)), []byte(reason))
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 const (
 	queueMemoryDivisor = 8  // unwritten answers take at most the program's memory divided by this
 	readAheadDivisor   = 32 // unparsed input of all connections has at most that memory divided by this
+	partialDivisor     = 16 // incomplete frames of all connections take at most that memory divided by this
 	// receiveBufferBytes is the size of the kernel's receive buffer of a connection. It holds more than all the requests
 	// that a router may have open, and bounds a single read.
 	receiveBufferBytes = 128 << 10
@@ -33,17 +34,19 @@
 	eventLoop netpoll.EventLoop
 
 	// Limits.
-	maxConns       int
-	maxOverLimit   int // connections beyond maxConns, accepted while all others are in use
-	maxUnjoined    int // connections that are accepted and have not yet joined the event loop
-	maxQueuedBytes int // of all connections' write queues
-	readAhead      *readAhead
-	idleTimeout    time.Duration
-	routersCancel  bool // routers send a cancellation once nobody waits for a request any longer
+	maxConns        int
+	maxOverLimit    int // connections beyond maxConns, accepted while all others are in use
+	maxUnjoined     int // connections that are accepted and have not yet joined the event loop
+	maxQueuedBytes  int // of all connections' write queues
+	maxPartialBytes int // of all connections' incomplete frames
+	readAhead       *readAhead
+	idleTimeout     time.Duration
+	routersCancel   bool // routers send a cancellation once nobody waits for a request any longer
 
 	conns             []*conn
 	unflushed         []*conn
 	queuedBytes       int // in all connections' write queues
+	partialBytes      int // of all connections' incomplete frames
 	timeoutsCheckedAt time.Duration
 
 	// A connection is counted as accepted before it leaves the listener, and as joined once the event loop has kept or
@@ -68,9 +71,10 @@
 	}
 	f := &Frontend{
 		server: s, counters: counters, log: log,
-		maxQueuedBytes: limits.MemoryMB << 20 / queueMemoryDivisor,
-		readAhead:      newReadAhead(limits.MemoryMB<<20/readAheadDivisor, s.Ended()),
-		routersCancel:  s.RoutersReportCancel(),
+		maxQueuedBytes:  limits.MemoryMB << 20 / queueMemoryDivisor,
+		maxPartialBytes: limits.MemoryMB << 20 / partialDivisor,
+		readAhead:       newReadAhead(limits.MemoryMB<<20/readAheadDivisor, s.Ended()),
+		routersCancel:   s.RoutersReportCancel(),
 	}
 	f.maxConns, f.maxOverLimit, f.maxUnjoined = splitSockets(socketLimit(limits.Sockets))
 	// The connections inherit it from their listener.
@@ -146,6 +150,19 @@
 	}
 }
 
+// failLongestPartial fails the connection with the longest incomplete frame.
+func (f *Frontend) failLongestPartial() {
+	var longest *conn
+	for _, c := range f.conns {
+		if longest == nil || c.partialSize > longest.partialSize {
+			longest = c
+		}
+	}
+	if longest != nil && longest.partialSize > 0 {
+		longest.fail("too many incomplete frames")
+	}
+}
+
 // cutOffLargestQueue cuts off the peer with the most queued bytes: a peer that reads has almost none.
 func (f *Frontend) cutOffLargestQueue() {
 	var largest *conn
--- a/internal/frontend/halfclose.go
+++ b/internal/frontend/halfclose.go
@@ -41,7 +41,8 @@
 		c.handleClosed()
 		return
 	}
-	c.partial, c.frameBegunAt, c.skipBytes = nil, 0, 0
+	c.setPartial(nil)
+	c.frameBegunAt, c.skipBytes = 0, 0
 	c.activeAt = c.frontend.server.Now()
 	c.draining, c.drainingAt = true, c.activeAt
 	c.enqueue(frame.AppendHead(nil, frame.GoAway, 0, 0, nil, 0))
--- a/internal/frontend/limits_test.go
+++ b/internal/frontend/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +110,38 @@
 	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &rlimit))
 	assert.Equal(t, min(int(rlimit.Cur), math.MaxInt32), socketLimit(math.MaxInt32))
 }
+
+// Guards against a fault: incomplete frames were bounded for each connection, at 8 KiB, and not for all of them together.
+// A router that is slow to send an ordinary request must not suffer from those that send long ones and end none.
+func TestIncompleteFramesOfAllConnectionsAreBounded(t *testing.T) {
+	const clients = 40
+	limits := server.Limits{MemoryMB: 2, Sockets: 256}
+	b := newFixture(t, limits)
+	slow := fake.Dial(t, b.Address())
+	request := fake.RequestFrame(1, "pay", "whole")
+	slow.Send(t, request[:len(request)-1])
+	partialBytes := func() (bytes int) {
+		b.onLoop(func() {
+			for _, c := range b.conns {
+				bytes += len(c.partial)
+			}
+		})
+		return bytes
+	}
+	require.Eventually(t, func() bool { return partialBytes() == len(request)-1 }, fake.WaitLimit, time.Millisecond)
+	long := fake.Frame(10, 1, strings.Repeat("x", 7<<10), "op", "pay")
+	for range clients {
+		fake.Dial(t, b.Address()).Send(t, long[:len(long)-1])
+	}
+	b.waitCounted(t, "connection closed: too many incomplete frames")
+	require.Eventually(t, func() bool { return b.joinedCount.Load() == clients+1 }, fake.WaitLimit, time.Millisecond)
+	assert.LessOrEqual(t, partialBytes(), limits.MemoryMB<<20/partialDivisor)
+	slow.Send(t, request[len(request)-1:])
+	assert.Equal(t, "whole", string(b.pool.Next(t, "spawn").Body))
+	b.onLoop(func() {
+		for _, c := range b.conns {
+			c.close("the test ends")
+		}
+		assert.Zero(t, b.Frontend.partialBytes, "bytes are counted that are no longer there")
+	})
+}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -83,7 +83,7 @@
 	inPieces := len(c.partial) > 0 // the first frame arrived in more than one read
 	if inPieces {
 		c.partial = append(c.partial, bytes...)
-		bytes = c.partial
+		bytes = c.partial // counted by keepPartial, once it is known how much of it remains
 	}
 	for !c.dead && !c.broken {
 		skipped := min(c.skipBytes, len(bytes))
@@ -126,7 +126,7 @@
 	if len(bytes) == 0 || cap(kept) > 2*frame.MaxBuffered {
 		kept = nil // an idle connection, or one after a large read, must not keep a large buffer
 	}
-	c.partial = append(kept, bytes...)
+	c.setPartial(append(kept, bytes...))
 	if len(c.partial) == 0 && c.skipBytes == 0 {
 		c.frameBegunAt = 0
 	} else if c.frameBegunAt == 0 {
@@ -134,6 +134,17 @@
 	}
 }
 
+// setPartial sets the beginning of an incomplete frame. If those of all connections exceed their part of the memory, the
+// connection with the longest one fails: requests are much shorter than the longest frame.
+func (c *conn) setPartial(bytes []byte) {
+	c.partial = bytes
+	c.frontend.partialBytes += cap(bytes) - c.partialSize
+	c.partialSize = cap(bytes)
+	if c.frontend.partialBytes > c.frontend.maxPartialBytes {
+		c.frontend.failLongestPartial()
+	}
+}
+
 func (c *conn) handleCheck(f frame.Frame) {
 	fields, _, err := frame.SplitPayload(f.Payload)
 	if err != nil {
