Bound what peers of the exchange send while its server is busy

What a client of the peer exchange sent was bounded only once the server's goroutine handled it; until then netpoll read on. Change: of each connection at most 16 KiB and a byte are kept, which is enough to refuse it; its receive buffer has 16 KiB. All of netpoll's callbacks run on the poller now, and both servers end connections by poller.Shutdown, so DeferredClose is gone: a connection ended before netpoll has registered it is closed by the poller after that. A client that sends too much or does not read is reset.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -13,6 +13,7 @@
 
 	"quartzpoint/internal/events"
 	"quartzpoint/internal/frame"
+	"quartzpoint/internal/poller"
 	"quartzpoint/internal/server"
 	"quartzpoint/internal/writequeue"
 )
@@ -36,7 +37,7 @@
 	halfClosed    bool        // the peer has ended its side, netpoll has released the connection, and fd is our own duplicate
 	closedLocally atomic.Bool // this side closed the connection, not the peer
 
-	received receivedBytes
+	received poller.Received // not parsed yet
 
 	// Reading.
 	requests     map[uint32]*server.Request // open requests by stream; no value is nil
@@ -122,13 +123,12 @@
 }
 
 // shutDescriptor ends both sides of the connection, upon which the poller closes it. Netpoll's own Close must not be
-// called: while netpoll's callback runs on the poller it would leave the close to the poller, which would then wait for
-// itself forever.
+// called: see poller.Shutdown.
 func (c *conn) shutDescriptor() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
-		_ = unix.Shutdown(c.fd, unix.SHUT_RDWR) // fails if the connection was reset, which the poller notices as well
+		poller.Shutdown(c.fd)
 	}
 }
 
@@ -166,8 +166,6 @@
 }
 
 // cutOff resets a connection with all its open requests, because its peer uses resources that all other connections need.
-// Without the reset, the unsent answers would stay in the kernel, and a peer that waits to send more would learn of the
-// close only after a minute.
 func (c *conn) cutOff(reason string) {
 	c.frontend.counters.Count("connection closed: " + reason)
 	c.resetOnClose()
@@ -179,6 +177,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
-		_ = unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) // fails if the peer has reset it
+		poller.ResetOnClose(c.fd)
 	}
 }
--- a/internal/frontend/fixture_test.go
+++ b/internal/frontend/fixture_test.go
@@ -92,5 +92,5 @@
 func (b *fixture) sendUnread(t *testing.T, c *conn, r *fake.Router, stream uint32) {
 	t.Helper()
 	r.Send(t, fake.RequestFrame(stream, "pay", ""))
-	require.Eventually(t, func() bool { return !c.received.empty() }, fake.WaitLimit, time.Millisecond)
+	require.Eventually(t, func() bool { return c.received.Len() > 0 }, fake.WaitLimit, time.Millisecond)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
 
 	"quartzpoint/internal/invariant"
+	"quartzpoint/internal/poller"
 	"quartzpoint/internal/server"
 )
 
@@ -77,8 +77,7 @@
 		routersCancel:   s.RoutersReportCancel(),
 	}
 	f.maxConns, f.maxOverLimit, f.maxUnjoined = splitSockets(socketLimit(limits.Sockets))
-	// The connections inherit it from their listener.
-	if err := unix.SetsockoptInt(listener.Fd(), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes); err != nil {
+	if err := poller.SetReceiveBuffer(listener, receiveBufferBytes); err != nil {
 		log.Warn("receive buffers keep the system's size", "error", err)
 	}
 	f.listener = &countingListener{listener, f}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -18,7 +18,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The order of the checks is that in which bytes move: from the kernel to netpoll and on to received.
-	return c.closed || c.halfClosed || !c.unreadInKernel() && c.transport.Reader().Len() == 0 && c.received.empty()
+	return c.closed || c.halfClosed || !c.unreadInKernel() && c.transport.Reader().Len() == 0 && c.received.Len() == 0
 }
 
 // unreadInKernel reports whether the kernel holds unread bytes from the peer. The end of the peer's side does not
@@ -59,7 +59,7 @@
 		return err
 	}
 	// They are added before they are consumed, so that inputEmpty finds them at any time.
-	if c.frontend.readAhead.acquire(len(bytes)) && c.received.add(bytes) {
+	if c.frontend.readAhead.acquire(len(bytes)) && c.received.Add(bytes) {
 		c.frontend.server.Submit(c.parseReceived)
 	}
 	if err := in.Skip(len(bytes)); err != nil {
@@ -70,7 +70,7 @@
 
 // parseReceived parses the received bytes, on the event loop. The bytes of a connection that has ended are dropped.
 func (c *conn) parseReceived() {
-	bytes := c.received.take()
+	bytes := c.received.Take()
 	if !c.dead && !c.broken {
 		c.parse(bytes)
 	}
--- a/internal/frontend/readahead.go
+++ b/internal/frontend/readahead.go
@@ -51,34 +51,3 @@
 	default:
 	}
 }
-
-// receivedBytes are the bytes that were received on one connection and are not parsed yet. The poller adds to them, and
-// the event loop takes them.
-type receivedBytes struct {
-	mu    sync.Mutex
-	bytes []byte
-}
-
-// add appends a copy of bytes. first reports whether there were none before.
-func (r *receivedBytes) add(bytes []byte) (first bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	first = len(r.bytes) == 0
-	r.bytes = append(r.bytes, bytes...)
-	return first
-}
-
-// take returns all bytes and removes them.
-func (r *receivedBytes) take() []byte {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	taken := r.bytes
-	r.bytes = nil
-	return taken
-}
-
-func (r *receivedBytes) empty() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.bytes) == 0
-}
--- a/internal/frontend/readahead_test.go
+++ b/internal/frontend/readahead_test.go
@@ -17,9 +17,7 @@
 // on the event loop.
 func (b *fixture) unparsedBytes() (bytes int) {
 	for _, c := range b.conns {
-		c.received.mu.Lock()
-		bytes += len(c.received.bytes) + c.transport.Reader().Len()
-		c.received.mu.Unlock()
+		bytes += c.received.Len() + c.transport.Reader().Len()
 	}
 	return bytes
 }
--- a/internal/peersync/hostile_test.go
+++ b/internal/peersync/hostile_test.go
@@ -19,7 +19,6 @@
 	"github.com/stretchr/testify/require"
 
 	"quartzpoint/internal/invariant"
-	"quartzpoint/internal/poller"
 )
 
 // Connections end at different stages of an exchange, in both directions. The client must get an error, no goroutine or
@@ -260,7 +259,7 @@
 		<-registered
 		return ctx
 	}
-	server.loop, err = netpoll.NewEventLoop(onData, netpoll.WithOnPrepare(prepare), poller.OnRegistered(closerOf))
+	server.loop, err = netpoll.NewEventLoop(onData, netpoll.WithOnPrepare(prepare))
 	require.NoError(t, err)
 	server.Serve()
 	t.Cleanup(server.Close)
@@ -285,6 +284,51 @@
 	assert.NotContains(t, logged.String(), "detach operator failed")
 }
 
+// Guards against a fault: what a client sent was bounded only once the server's goroutine handled it. While that goroutine
+// was busy, clients made the process store all they sent.
+func TestReceivedBytesAreBoundedWhileTheServerIsBusy(t *testing.T) {
+	const clients = 4 // as many as one address may have
+	server, _ := startServer(t, nil)
+	connections := make([]net.Conn, clients)
+	for i := range connections {
+		var err error
+		connections[i], err = net.Dial("tcp", server.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = connections[i].Close() })
+		require.NoError(t, connections[i].SetDeadline(time.Now().Add(testTimeout)))
+	}
+	require.Eventually(t, func() bool {
+		registered := make(chan int)
+		server.Submit(func() { registered <- len(server.conns) })
+		return <-registered == clients
+	}, testTimeout, time.Millisecond)
+	var writes sync.WaitGroup
+	largest := make(chan int)
+	server.Submit(func() { // blocks the server's goroutine
+		for _, c := range connections {
+			writes.Go(func() { _, _ = c.Write(make([]byte, 4<<20)) })
+		}
+		most := 0
+		for end := time.Now().Add(200 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			bytes := 0
+			for _, c := range server.conns {
+				bytes += c.received.Len() + c.transport.Reader().Len()
+			}
+			most = max(most, bytes)
+		}
+		largest <- most
+	})
+	// In addition to what is kept of each connection there is one read.
+	assert.LessOrEqual(t, <-largest, clients*(maxUnread+1)+2*receiveBufferBytes)
+	sent := make(chan struct{})
+	go func() { writes.Wait(); close(sent) }()
+	select {
+	case <-sent:
+	case <-time.After(testTimeout / 4):
+		t.Error("the clients don't learn that their connections were closed")
+	}
+}
+
 // logBuffer collects log output from several goroutines.
 type logBuffer struct {
 	mu   sync.Mutex
--- a/internal/peersync/server.go
+++ b/internal/peersync/server.go
@@ -20,6 +20,8 @@
 const (
 	checkInterval  = 100 * time.Millisecond // between checks of all connections, while there are any
 	maxUnsentBytes = 2 * maxSnapshot        // for a client that does not read
+	// receiveBufferBytes is the size of the kernel's receive buffer of a connection. A client sends a few short messages.
+	receiveBufferBytes = 2 * maxFrame
 )
 
 // Server answers the exchanges of peers with the snapshot that was last published. Its own goroutine owns the
@@ -65,12 +67,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers at %s: %w", address, err)
 	}
+	if err := poller.SetReceiveBuffer(listener, receiveBufferBytes); err != nil {
+		counts.Count("peers' receive buffers keep the system's size")
+	}
 	s := &Server{
 		counts: counts, now: now, listener: &waitingListener{listener, counts},
 		wake: make(chan struct{}, 1), quit: make(chan struct{}), limiter: estimate.NewServeLimiter(now()),
 	}
 	s.keys.Store(&keys)
-	s.loop, err = netpoll.NewEventLoop(onData, netpoll.WithOnPrepare(s.prepare), poller.OnRegistered(closerOf))
+	s.loop, err = netpoll.NewEventLoop(onData, netpoll.WithOnPrepare(s.prepare))
 	if err != nil {
 		_ = listener.Close()
 		return nil, fmt.Errorf("event loop: %w", err)
@@ -195,5 +200,5 @@
 	processTraffic.accepted.Add(1)
 	_ = transport.AddCloseCallback(c.onClose)
 	s.Submit(c.register)
-	return context.WithValue(poller.Context(s), connKey{}, c)
+	return context.WithValue(context.Background(), connKey{}, c)
 }
--- a/internal/peersync/serverconn.go
+++ b/internal/peersync/serverconn.go
@@ -26,13 +26,12 @@
 	startedAt time.Duration
 	keys      Keys
 	exchange  serverExchange
+	received  poller.Received // not handled yet
 	unread    []byte
 	unsent    *writequeue.Queue
 	counted   bool // by the limiter; unregister must call Disconnect
 	closed    bool
 
-	closer poller.DeferredClose
-
 	mu               sync.Mutex
 	descriptorClosed bool // fd may already refer to another file
 	fd               int
@@ -71,14 +70,15 @@
 	}
 }
 
+// close ends both sides of the connection, upon which the poller closes it. Netpoll's own Close must not be called: see
+// poller.Shutdown.
 func (c *serverConn) close() {
 	c.closed = true
-	c.closer.Close(c.transport)
-}
-
-// closerOf returns the DeferredClose of a connection from its context.
-func closerOf(ctx context.Context) *poller.DeferredClose {
-	return &ctx.Value(connKey{}).(*serverConn).closer
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.descriptorClosed {
+		poller.Shutdown(c.fd)
+	}
 }
 
 // fail counts an event and closes the connection, unless it is closed already.
@@ -89,6 +89,16 @@
 	}
 }
 
+// cutOff counts an event and resets the connection of a client that sends too much or does not read.
+func (c *serverConn) cutOff(event string) {
+	c.mu.Lock()
+	if !c.descriptorClosed {
+		poller.ResetOnClose(c.fd)
+	}
+	c.mu.Unlock()
+	c.fail(event)
+}
+
 // check sends pending frames, and closes the connection if it has exceeded exchangeTimeout. A client closes its
 // connection once it has its answer, so a connection that is still open by then belongs to a client that does not read
 // or sends very slowly.
@@ -115,7 +125,8 @@
 	}
 }
 
-// onData is netpoll's callback for received bytes; package poller calls it on the server's goroutine.
+// onData is netpoll's callback for received bytes. It runs on the poller after each read. Of a client that sends more than
+// maxUnread at once only the beginning is kept, which is enough for receive to close its connection.
 func onData(ctx context.Context, transport netpoll.Connection) error {
 	c := ctx.Value(connKey{}).(*serverConn)
 	in := transport.Reader()
@@ -123,16 +134,21 @@
 	if err != nil {
 		return err
 	}
-	if !c.closed {
-		c.receive(raw)
+	kept := min(len(raw), maxUnread+1-c.received.Len())
+	if kept > 0 && c.received.Add(raw[:kept]) {
+		c.server.Submit(c.receive)
 	}
 	return in.Release()
 }
 
-// receive appends raw to the unread bytes and handles all complete messages.
-func (c *serverConn) receive(raw []byte) {
+// receive appends the received bytes to the unread ones and handles all complete messages.
+func (c *serverConn) receive() {
+	raw := c.received.Take()
+	if c.closed {
+		return
+	}
 	if len(c.unread)+len(raw) > maxUnread {
-		c.fail("peer connection closed: sends too much")
+		c.cutOff("peer connection closed: sends too much")
 		return
 	}
 	processTraffic.received.Add(int64(len(raw)))
@@ -195,7 +211,7 @@
 		processTraffic.sent.Add(int64(len(frame)))
 	}
 	if err := c.unsent.Add(frames...); err != nil {
-		c.fail("peer connection closed: does not read")
+		c.cutOff("peer connection closed: does not read")
 		return false
 	}
 	c.flush()
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -1,5 +1,5 @@
-// Package poller configures netpoll for the whole process: one poller, and callbacks that run on it or on the event loop
-// to which a connection belongs.
+// Package poller configures netpoll for the whole process: one poller, on which the callbacks run. They pass what they
+// received to the event loop to which a connection belongs.
 package poller
 
 import (
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"quartzpoint/internal/sysfault"
 )
@@ -18,35 +19,41 @@
 // acceptPause is the pause of the poller if no descriptor is available for a connection that waits to be accepted.
 const acceptPause = 5 * time.Millisecond
 
-// EventLoop runs submitted functions on its goroutine, in the order of their submission.
-type EventLoop interface{ Submit(f func()) }
-
-// eventLoopKey is the context key of a connection's event loop.
-type eventLoopKey struct{}
-
 // netpoll reads its configuration when its first poller starts, so its documentation asks for the configuration in an
 // init function.
 func init() {
-	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: runCallback, LoggerOutput: logWriter{}})
+	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: runOnPoller, LoggerOutput: logWriter{}})
 	if err != nil {
 		panic(fmt.Errorf("netpoll: %w", err))
 	}
 }
 
-// Context returns the context of a connection whose callbacks run on loop.
-func Context(loop EventLoop) context.Context {
-	return context.WithValue(context.Background(), eventLoopKey{}, loop)
+// runOnPoller runs netpoll's callback at once, on the poller, after each single read. Netpoll reads as long as a peer sends,
+// so this is where received bytes can be bounded: while a callback waits, the poller reads nothing.
+func runOnPoller(_ context.Context, callback func()) { callback() }
+
+// Shutdown ends both sides of a connection, upon which the poller closes its descriptor and reports that by netpoll's
+// callback. It must be used instead of the connection's own Close, for two reasons. Called while a callback of the
+// connection runs on the poller, Close leaves the rest to the poller, which then waits for itself forever. And netpoll
+// announces a connection before it registers it: closed in between, it uses freed memory and panics.
+func Shutdown(fd int) {
+	_ = unix.Shutdown(fd, unix.SHUT_RDWR) // fails if the connection was reset, which the poller notices as well
+}
+
+// ResetOnClose makes the close of a connection a reset: what was written and not sent is dropped, and a peer that waits to
+// send more learns of the close at once. As the poller reads all input before it closes, the kernel does not send a
+// reset by itself, and such a peer might learn of the close only after a minute.
+func ResetOnClose(fd int) {
+	_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) // fails if the peer has reset it
 }
 
-// runCallback submits netpoll's callback to the event loop of its connection, so that reads need neither locks nor extra
-// goroutines. If the context names no event loop, the callback runs on the poller, after each single read. Such a
-// connection must not be closed by netpoll's Close, which would make the poller wait for itself forever.
-func runCallback(ctx context.Context, callback func()) {
-	if loop, onLoop := ctx.Value(eventLoopKey{}).(EventLoop); onLoop {
-		loop.Submit(callback)
-		return
+// SetReceiveBuffer sets the size of the kernel's receive buffer of the connections that a listener accepts from now on. It
+// bounds how much netpoll reads at once, which is twice as many bytes at most.
+func SetReceiveBuffer(listener netpoll.Listener, bytes int) error {
+	if err := unix.SetsockoptInt(listener.Fd(), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes); err != nil {
+		return fmt.Errorf("set the receive buffer: %w", err)
 	}
-	callback()
+	return nil
 }
 
 // Accept accepts a connection; it implements the Accept method of the listener that is passed to netpoll.
