Count closed connections until their descriptors are free

Cause: a connection closed to make room keeps its descriptor until the poller closes it, a moment later than before, but no longer counted when the next one was accepted. Change: connections that this side has ended count with the unjoined ones until netpoll reports their end.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -33,9 +32,9 @@
 
 	mu            sync.Mutex
 	fd            int
-	closed        bool        // fd may already refer to another file
-	halfClosed    bool        // the peer has ended its side, netpoll has released the connection, and fd is our own duplicate
-	closedLocally atomic.Bool // this side closed the connection, not the peer
+	closed        bool // fd may already refer to another file
+	halfClosed    bool // the peer has ended its side, netpoll has released the connection, and fd is our own duplicate
+	closedLocally bool // this side closed the connection, not the peer
 
 	received poller.Received // not parsed yet
 
@@ -78,8 +77,11 @@
 // descriptor is closed and possibly reused for another file.
 func (c *conn) onClosed(netpoll.Connection) error {
 	c.mu.Lock()
-	c.halfClosed = !c.closedLocally.Load() && c.duplicateDescriptor()
+	c.halfClosed = !c.closedLocally && c.duplicateDescriptor()
 	c.closed = !c.halfClosed
+	if c.closedLocally {
+		c.frontend.closingCount.Add(-1)
+	}
 	half := c.halfClosed
 	c.mu.Unlock()
 	if half {
@@ -118,7 +120,6 @@
 		return
 	}
 	c.release()
-	c.closedLocally.Store(true)
 	c.shutDescriptor()
 }
 
@@ -127,9 +128,12 @@
 func (c *conn) shutDescriptor() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed {
-		poller.Shutdown(c.fd)
+	if c.closed || c.halfClosed || c.closedLocally { // otherwise a callback of its end is on its way
+		return
 	}
+	c.closedLocally = true
+	c.frontend.closingCount.Add(1)
+	poller.Shutdown(c.fd)
 }
 
 // release marks the connection as dead and drops its queued answers.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -53,7 +53,8 @@
 	// refused it.
 	acceptedCount   atomic.Int64
 	joinedCount     atomic.Int64
-	evictionPending atomic.Bool // a submitted function that evicts a connection has not run yet
+	closingCount    atomic.Int64 // connections that this side has ended and the poller has not closed yet
+	evictionPending atomic.Bool  // a submitted function that evicts a connection has not run yet
 
 	draining     bool
 	stopping     atomic.Bool // same as draining, for Serve's goroutine
