--- a/internal/frontend/limits_test.go
+++ b/internal/frontend/limits_test.go
@@ -142,6 +142,6 @@
 		for _, c := range b.conns {
 			c.close("the test ends")
 		}
-		assert.Zero(t, b.Frontend.partialBytes, "bytes are counted that are no longer there")
+		assert.Zero(t, b.partialBytes, "bytes are counted that are no longer there")
 	})
 }
