--- a/internal/frontend/accept.go
+++ b/internal/frontend/accept.go
@@ -30,9 +30,9 @@
 
 // Accept counts a connection before it accepts it, so that each connection is visible at any time: either in the
 // listener, or as accepted and not joined. The number of unjoined connections is limited, together with those that
-// were closed to make room and still have their descriptors: netpoll accepts all connections there are, and a flood would
-// use up the descriptors that the process itself needs before the event loop can refuse any. At the limit the other connections wait in the listener, and Accept pauses so that the poller does
-// not try again at once.
+// were closed to make room and still have their descriptors: netpoll accepts all connections there are, and a flood
+// would use up the descriptors that the process itself needs before the event loop can refuse any. At the limit the
+// other connections wait in the listener, and Accept pauses so that the poller does not try again at once.
 func (c *countingListener) Accept() (net.Conn, error) {
 	unjoined := c.frontend.acceptedCount.Load() - c.frontend.joinedCount.Load()
 	if unjoined+c.frontend.closingCount.Load() >= int64(c.frontend.maxUnjoined) {
