--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-[ -x bin/review2 ] && [ -x bin/quartzpoint ] || exit 2
-exec bin/review2 composed-crash review/6
+[ -x bin/review2 ] && [ -x bin/quartzpoint ] && [ -x bin/quartzconfig ] || exit 2
+exec bin/review2 gone-callers review/6
--- a/review/standin2/frames.go
+++ b/review/standin2/frames.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -193,3 +194,6 @@
 	_, _ = r.conn.Write(encodeRequest(r.next, fields, body))
 	return got
 }
+
+// readerOf returns a reader of a text.
+func readerOf(text string) io.Reader { return strings.NewReader(text) }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,10 +26,17 @@
 )
 
 var cases = map[string]func(*scene) (bool, error){
-	"composed-crash": composedCrash,
+	"composed-crash": composedCrash, "lease-tokens": leaseTokens, "route-change": routeChange, "gone-callers": goneCallers, "tenant-keys": tenantKeys,
 }
 
 func main() {
+	if len(os.Args) == argsLen && os.Args[1] == "library-app" {
+		if err := libraryApp(os.Args[2]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if len(os.Args) != argsLen || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "review2 CASE FOLDER")
 		os.Exit(noRun)
