--- a/review/standin2/composed.go
+++ b/review/standin2/composed.go
@@ -93,7 +93,7 @@
 		{"name": "book", "goal-time": 2000000, "deadline": 4000000, "gain": 4.0, "idempotency": "dedup", "dedup-window": 30000000, "late-value": 0.0},
 		{"name": "plain", "goal-time": 2000000, "deadline": 4000000, "gain": 4.0, "idempotency": "dedup", "dedup-window": 30000000, "late-value": 0.0},
 	}
-	config, err := platformConfig(s.dir, "n1", listen, workers.address, memberAddress, services, nil)
+	config, err := platformConfig(s.dir, "n1", listen, workers.address, memberAddress, services, nil, nil)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/configured.go
+++ b/review/standin2/configured.go
@@ -121,7 +121,7 @@
 	}
 	defer c.close()
 	listen := freeAddress()
-	config, err := platformConfig(s.dir, "n1", listen, workers.address, memberAddress, services, nil)
+	config, err := platformConfig(s.dir, "n1", listen, workers.address, memberAddress, services, nil, nil)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/frames.go
+++ b/review/standin2/frames.go
@@ -189,7 +189,7 @@
 	r.open[r.next] = got
 	fields := append([][2]string{
 		{"op", op}, {"call", call}, {"recv", strconv.FormatInt(time.Now().UnixMilli(), 10)}, {"src", "4"},
-		{"ttl", strconv.FormatInt(ttl.Milliseconds(), 10)}, {"heap", "24.5"}, {"crit", "0.9000"},
+		{"ttl", strconv.FormatInt(ttl.Milliseconds(), 10)}, {"heap", heapKB}, {"crit", "0.9000"},
 	}, extra...)
 	_, _ = r.conn.Write(encodeRequest(r.next, fields, body))
 	return got
@@ -197,3 +197,40 @@
 
 // readerOf returns a reader of a text.
 func readerOf(text string) io.Reader { return strings.NewReader(text) }
+
+// routerPool is a router that opens a further connection where the others have 30 open requests, as 32 are allowed.
+type routerPool struct {
+	address string
+	conns   []*router
+}
+
+func (p *routerPool) send(op, call string, ttl time.Duration, extra [][2]string, body []byte) chan answer {
+	for _, r := range p.conns {
+		r.mu.Lock()
+		free := !r.dead && len(r.open) < 30
+		r.mu.Unlock()
+		if free {
+			return r.send(op, call, ttl, extra, body)
+		}
+	}
+	r, err := dialRouter(p.address)
+	if err != nil {
+		got := make(chan answer, 1)
+		got <- answer{lost: true, at: time.Now()}
+		return got
+	}
+	p.conns = append(p.conns, r)
+	return r.send(op, call, ttl, extra, body)
+}
+
+// heapKB is the memory that a router books for each request while it is held.
+var heapKB = "24.5"
+
+// reset resets all connections; what is open on them is lost.
+func (p *routerPool) reset() {
+	for _, r := range p.conns {
+		_ = r.conn.(*net.TCPConn).SetLinger(0)
+		_ = r.conn.Close()
+	}
+	p.conns = nil
+}
--- a/review/standin2/lease.go
+++ b/review/standin2/lease.go
@@ -103,6 +103,7 @@
 
 // fleet is a number of servers that vote on leases.
 type fleet struct {
+	number    int
 	s         *scene
 	duties    []string
 	programs  []*program
@@ -121,8 +122,8 @@
 	Remaining time.Duration `json:"left_ns"`
 }
 
-func newFleet(s *scene, n int, duties []string, section string, proxied bool) (*fleet, error) {
-	f := &fleet{s: s, duties: duties, links: make([][]*link, n)}
+func newFleet(s *scene, n int, duties []string, section string, proxied bool, number int) (*fleet, error) {
+	f := &fleet{s: s, number: number, duties: duties, links: make([][]*link, n)}
 	memberAddress, stop, err := members()
 	if err != nil {
 		return nil, err
@@ -138,9 +139,9 @@
 		if err != nil {
 			return nil, err
 		}
-		name := fmt.Sprintf("n%d", i+1)
+		name := fmt.Sprintf("f%d-n%d", number, i+1)
 		f.listens = append(f.listens, freeAddress())
-		config, err := platformConfig(s.dir, name, f.listens[i], workers.address, memberAddress, services, nil)
+		config, err := platformConfig(s.dir, name, f.listens[i], workers.address, memberAddress, services, nil, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -181,7 +182,7 @@
 }
 
 func (f *fleet) start(i int) (err error) {
-	name := fmt.Sprintf("n%d", i+1)
+	name := fmt.Sprintf("f%d-n%d", f.number, i+1)
 	f.programs[i], err = startServer(f.s.dir, name, f.configs[i], f.owns[i], f.listens[i])
 	f.s.rec.printf("%s started", name)
 	return err
@@ -225,7 +226,7 @@
 
 // leaseTokens loses all servers at once, as with their data centre, and compares the tokens of all grants in their order.
 func leaseTokens(s *scene) (bool, error) {
-	f, err := newFleet(s, 3, []string{"compact"}, "", false)
+	f, err := newFleet(s, 3, []string{"compact"}, "", false, 0)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,7 +26,7 @@
 )
 
 var cases = map[string]func(*scene) (bool, error){
-	"composed-crash": composedCrash, "lease-tokens": leaseTokens, "route-change": routeChange, "gone-callers": goneCallers, "tenant-keys": tenantKeys,
+	"composed-crash": composedCrash, "lease-tokens": leaseTokens, "slow-store": slowStore, "route-change": routeChange, "gone-callers": goneCallers, "tenant-keys": tenantKeys,
 }
 
 func main() {
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -101,7 +101,7 @@
 type service map[string]any
 
 // platformConfig writes an app server's configuration, with the settings of a small deployment.
-func platformConfig(dir, name, listen, pool, members string, services []service, extra map[string]any) (string, error) {
+func platformConfig(dir, name, listen, pool, members string, services []service, changed, top map[string]any) (string, error) {
 	calls, skips := make([]bool, len(services)), make([]float64, len(services))
 	settings := map[string]any{
 		"extra": map[string]any{
@@ -117,13 +117,17 @@
 		},
 		"servers": 3, "services": services, "tenants": []any{}, "value-by": "request",
 	}
-	for key, value := range extra {
+	for key, value := range changed {
 		settings[key] = value
 	}
-	raw, err := json.MarshalIndent(map[string]any{
+	whole := map[string]any{
 		"name": name, "listen": listen, "pool": pool, "members": members, "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
 		"stop_ms": 3000, "limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": settings,
-	}, "", " ")
+	}
+	for key, value := range top {
+		whole[key] = value
+	}
+	raw, err := json.MarshalIndent(whole, "", " ")
 	if err != nil {
 		return "", err
 	}
