--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,7 +26,8 @@
 )
 
 var cases = map[string]func(*scene) (bool, error){
-	"composed-crash": composedCrash, "lease-tokens": leaseTokens, "slow-store": slowStore, "route-change": routeChange, "gone-callers": goneCallers, "tenant-keys": tenantKeys,
+	"gone-callers": goneCallers, "composed-crash": composedCrash, "tenant-keys": tenantKeys, "cut-report": cutReport,
+	"slow-store": slowStore,
 }
 
 func main() {
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -343,3 +343,13 @@
 	all := strings.Split(strings.TrimSpace(string(raw)), "\n")
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
+
+// ended reports whether a process has ended.
+func ended(p *program) bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
