--- a/review/standin2/overload.go
+++ b/review/standin2/overload.go
@@ -16,6 +16,7 @@
 // calls it holds.
 type store struct {
 	listener net.Listener
+	survives float64 // calls in its hands, in the mean of 5 s
 
 	mu      sync.Mutex
 	takes   time.Duration
@@ -23,6 +24,8 @@
 	most    int
 	since   time.Time
 	history []holding
+	conns   map[net.Conn]bool
+	died    bool
 }
 
 type holding struct {
@@ -30,12 +33,12 @@
 	held int
 }
 
-func newStore(takes time.Duration) (*store, error) {
+func newStore(survives float64, takes time.Duration) (*store, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	d := &store{listener: listener, takes: takes, since: time.Now()}
+	d := &store{listener: listener, survives: survives, takes: takes, since: time.Now(), conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -56,6 +59,9 @@
 
 func (d *store) serve(conn net.Conn) {
 	defer conn.Close()
+	d.mu.Lock()
+	d.conns[conn] = true
+	d.mu.Unlock()
 	var mu sync.Mutex
 	in := bufio.NewReader(conn)
 	for {
@@ -81,6 +87,23 @@
 	}
 }
 
+// watch lets the dependency die once it had more calls in its hands than it survives, in the mean of 5 s.
+func (d *store) watch(rec *record) {
+	for ; ; time.Sleep(100 * time.Millisecond) {
+		if mean := d.highestMean(5 * time.Second); mean > d.survives {
+			rec.printf("the dependency dies: %.2f calls in its hands in the mean of 5 s, %g is what it survives", mean, d.survives)
+			_ = d.listener.Close()
+			d.mu.Lock()
+			d.died = true
+			for conn := range d.conns {
+				_ = conn.Close()
+			}
+			d.mu.Unlock()
+			return
+		}
+	}
+}
+
 // highestMean returns the highest mean of the calls held, over windows of a length.
 func (d *store) highestMean(window time.Duration) (highest float64) {
 	d.mu.Lock()
@@ -112,7 +135,7 @@
 		usual  = 600 * time.Millisecond
 		factor = 7.9
 	)
-	d, err := newStore(usual)
+	d, err := newStore(share, usual)
 	if err != nil {
 		return false, err
 	}
@@ -142,6 +165,7 @@
 dependency = "tables"
 needed = true
 expected = "600ms"
+effect = "numbered"
 `, d.listener.Addr().String(), share)), 0o600); err != nil {
 		return false, err
 	}
@@ -155,6 +179,7 @@
 	if err != nil {
 		return false, err
 	}
+	go d.watch(s.rec)
 	began := time.Now()
 	codes := map[string]int{}
 	var mu sync.Mutex
@@ -193,5 +218,7 @@
 	mean := d.highestMean(5 * time.Second)
 	s.rec.printf("at most %d calls in its hands, %.2f in the mean of the worst 5 s; answers: %v", d.most, mean, codes)
 	s.rec.printf("log of the app server:\n%s", tail(server.log, 20))
-	return mean <= share, nil
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.died && mean <= share, nil
 }
