--- a/review/standin2/library.go
+++ b/review/standin2/library.go
@@ -33,7 +33,7 @@
 		Routes: []quartzpoint.Route{
 			{Name: "GET /slots", LatencyTarget: time.Second, Deadline: 2 * time.Second},
 			{Name: "GET /report", LatencyTarget: time.Second, Deadline: 2 * time.Second},
-			{Name: "POST /bookings", Value: 4, LatencyTarget: 2 * time.Second, Idempotency: quartzpoint.Keyed},
+			{Name: "POST /bookings", Value: 4, LatencyTarget: 500 * time.Millisecond, Deadline: 2 * time.Second, Idempotency: quartzpoint.Keyed},
 		},
 		Tenants: []quartzpoint.Tenant{{Name: "north", Rate: 100}, {Name: "south", Rate: 100}},
 	})
@@ -48,6 +48,21 @@
 		case <-r.Context().Done():
 		}
 	})))
+	// Bookings, as in examples/booking: some work, and then the effect; a handler whose context ends returns.
+	var made sync.Map
+	mux.Handle("POST /bookings", admit(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		work, _ := time.ParseDuration(r.URL.Query().Get("work"))
+		select {
+		case <-time.After(work):
+			made.Store(r.Header.Get("Idempotency-Key"), true)
+			fmt.Fprintln(w, "booked")
+		case <-r.Context().Done():
+		}
+	})))
+	mux.HandleFunc("GET /made", func(w http.ResponseWriter, r *http.Request) {
+		_, known := made.Load(r.URL.Query().Get("key"))
+		fmt.Fprint(w, known)
+	})
 	// A report of ten lines that is streamed: each line takes some work, whose time is asked for by the case.
 	mux.Handle("GET /report", admit(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		work, _ := time.ParseDuration(r.FormValue("work"))
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -27,7 +27,7 @@
 
 var cases = map[string]func(*scene) (bool, error){
 	"gone-callers": goneCallers, "composed-crash": composedCrash, "tenant-keys": tenantKeys, "cut-report": cutReport,
-	"slow-store": slowStore,
+	"slow-store": slowStore, "lost-booking": lostBooking,
 }
 
 func main() {
